--- /dev/null
+++ b/apps/sassafrasknotd/main.cpp
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
--- /dev/null
+++ b/include/sassafrasknot/state/flow.hpp
@@ -0,0 +1,89 @@
+#ifndef SASSAFRASKNOT_STATE_FLOW_HPP
+#define SASSAFRASKNOT_STATE_FLOW_HPP
+
+#include "sassafrasknot/state/endpoint.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace sassafrasknot::state {
+
+/// @brief Transport protocol of a flow; the value is the IP protocol number.
+enum class TransportProtocol : std::uint8_t
+{
+  Tcp = 6,
+  Udp = 17,
+};
+
+/// @brief What a listener's flows do to their upstream.
+enum class FlowClass : std::uint8_t
+{
+  Feed, ///< Takes a connection only.
+  Work, ///< Takes a connection and a slot until it ends.
+  Long, ///< Work that is expected to run much longer than other work.
+};
+
+/// @brief A flow as its caller sees it: caller and service endpoint.
+struct FlowKey
+{
+  Endpoint mCaller;
+  Endpoint mService;
+  TransportProtocol mProtocol = TransportProtocol::Tcp;
+
+  auto operator<=>(const FlowKey&) const = default;
+};
+
+/// @brief Which end of a flow sent a packet.
+enum class Direction : std::uint8_t
+{
+  FromCaller,
+  FromUpstream,
+};
+
+/// @brief What a packet does to its flow.
+enum class SegmentKind : std::uint8_t
+{
+  Open,       ///< TCP SYN, or a datagram from the caller.
+  OpenAnswer, ///< TCP SYN and ACK, or a datagram from the upstream.
+  Data,       ///< Established segment with or without payload.
+  Finish,     ///< TCP FIN.
+  Reset,      ///< TCP RST.
+};
+
+/// @brief What a decision needs to know of one packet; never the packet itself.
+struct FlowEvent
+{
+  FlowKey mKey;
+  Direction mDirection = Direction::FromCaller;
+  SegmentKind mKind = SegmentKind::Data;
+  /// The upstream that sent the packet; only for FromUpstream.
+  Endpoint mUpstream;
+  /// Payload, in bytes.
+  std::uint32_t mPayload = 0;
+  /// Sequence number of the first payload byte, modulo 2^32.
+  std::uint32_t mSequence = 0;
+  /// Cumulative acknowledgement of the other end's bytes, modulo 2^32.
+  std::uint32_t mAcknowledged = 0;
+
+  auto operator<=>(const FlowEvent&) const = default;
+};
+
+/// @brief Returns a 64-bit hash of a flow that is the same on every instance.
+/// @param aKey the flow
+/// @return the hash
+std::uint64_t
+Hash(const FlowKey& aKey);
+
+} // namespace sassafrasknot::state
+
+template<>
+struct std::hash<sassafrasknot::state::FlowKey>
+{
+  std::size_t operator()(
+    const sassafrasknot::state::FlowKey& aKey) const noexcept
+  {
+    return sassafrasknot::state::Hash(aKey);
+  }
+};
+
+#endif
--- /dev/null
+++ b/include/sassafrasknot/state/time.hpp
@@ -0,0 +1,18 @@
+#ifndef SASSAFRASKNOT_STATE_TIME_HPP
+#define SASSAFRASKNOT_STATE_TIME_HPP
+
+#include <chrono>
+
+/// @brief Plain data and pure functions that the other modules share.
+namespace sassafrasknot::state {
+
+/// @brief Length of time, in nanoseconds.
+using Duration = std::chrono::nanoseconds;
+
+/// @brief Monotonic point in time. Decisions receive it from their caller and
+/// never read a clock, so that a run repeats from its seed.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+} // namespace sassafrasknot::state
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/coordination/module.cpp
@@ -0,0 +1,1 @@
+#include "sassafrasknot/state/time.hpp"
