Add flow lookup and a typed status to the traffic core's interface

Cause: a new owner needs a way to ask for one flow, and a dump as text would bring a JSON library into coordination. Change: FlowLookup message, TrafficStatus in place of a JSON string. Before: no such message. After: interface only, no behaviour yet. Conclusion: encoding of dumps stays in protocol.

--- a/include/sassafrasknot/coordination/traffic_core.hpp
+++ b/include/sassafrasknot/coordination/traffic_core.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_COORDINATION_TRAFFIC_CORE_HPP
 #define SASSAFRASKNOT_COORDINATION_TRAFFIC_CORE_HPP
 
+#include "sassafrasknot/coordination/shard.hpp"
 #include "sassafrasknot/coordination/traffic_message.hpp"
 #include "sassafrasknot/state/counters.hpp"
 #include "sassafrasknot/state/error.hpp"
@@ -10,7 +11,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -133,6 +133,28 @@
 
 using TrafficActions = std::vector<TrafficAction>;
 
+/// @brief A shard that an instance owns, for a dump.
+struct OwnedShardStatus
+{
+  state::ShardId mId;
+  state::InstanceId mBackup;
+  std::size_t mFlows = 0;
+  ShardStatus mShard;
+};
+
+/// @brief State of a traffic core for a dump.
+struct TrafficStatus
+{
+  std::vector<OwnedShardStatus> mOwned;
+  std::size_t mFlows = 0;
+  /// Records that are held as backup of other instances.
+  std::size_t mBackupRecords = 0;
+  /// Flows whose upstream is being looked up.
+  std::size_t mRecovering = 0;
+  /// Records that wait for the control budget to be copied.
+  std::size_t mCopiesPending = 0;
+};
+
 /// @brief Decides what happens to the packets of the shards of one traffic
 /// thread. Not safe for use from several threads.
 class TrafficCore
@@ -183,8 +205,10 @@
   /// @brief Returns the counters of this core.
   const state::Counters& Counters() const;
 
-  /// @brief Returns the state of this core for a dump, as a JSON object.
-  std::string Dump() const;
+  /// @brief Describes this core for a dump.
+  /// @param aNow the time
+  /// @return its state
+  TrafficStatus Status(state::TimePoint aNow) const;
 
 private:
   struct Impl;
--- a/include/sassafrasknot/coordination/traffic_message.hpp
+++ b/include/sassafrasknot/coordination/traffic_message.hpp
@@ -85,12 +85,22 @@
   auto operator<=>(const ReportRequest&) const = default;
 };
 
+/// @brief Asks another instance for a flow that the sender should own. The
+/// receiver answers with FlowCopies if it knows the flow, and not otherwise.
+struct FlowLookup
+{
+  state::FlowKey mKey;
+
+  auto operator<=>(const FlowLookup&) const = default;
+};
+
 /// @brief A message between the traffic cores of two instances.
 using TrafficMessage = std::variant<AnswerReports,
                                     FlowCopies,
                                     HandoverBatch,
                                     HandoverAcknowledgement,
-                                    ReportRequest>;
+                                    ReportRequest,
+                                    FlowLookup>;
 
 } // namespace sassafrasknot::coordination
 
