Place flows on the upstreams of one shard

Cause: the traffic core needs the decisions behind shard.hpp. FailureKind moves to upstream_health.hpp, which shard.hpp includes. Before: no source.

--- a/include/sassafrasknot/coordination/shard.hpp
+++ b/include/sassafrasknot/coordination/shard.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_COORDINATION_SHARD_HPP
 #define SASSAFRASKNOT_COORDINATION_SHARD_HPP
 
+#include "sassafrasknot/coordination/upstream_health.hpp"
 #include "sassafrasknot/state/configuration.hpp"
 #include "sassafrasknot/state/snapshot.hpp"
 #include "sassafrasknot/state/time.hpp"
@@ -129,14 +130,6 @@
 void
 OnAccepted(Shard& aShard, state::Ipv4Address aUpstream, state::TimePoint aNow);
 
-/// @brief How a flow failed at its upstream.
-enum class FailureKind : std::uint8_t
-{
-  Refused,  ///< A reset in answer to the opening segment.
-  Reset,    ///< A reset of an established flow.
-  NoAnswer, ///< Nothing came back in time.
-};
-
 /// @brief Notes a failure for the upstream's observed health. Does not free the
 /// flow's account; OnEnded does.
 /// @param aShard the shard
--- /dev/null
+++ b/src/sassafrasknot/coordination/shard_queue.cpp
@@ -0,0 +1,90 @@
+#include "sassafrasknot/coordination/shard_queue.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// Samples that the running mean covers. Fewer let a single straggler of 100
+/// times the usual length double the expected wait.
+constexpr double kSamples = 200;
+
+std::map<std::uint64_t, QueuedFlow>&
+MutableLane(ShardQueue& aQueue, QueueLane aLane)
+{
+  return aQueue.mLanes.at(static_cast<std::size_t>(aLane));
+}
+
+} // namespace
+
+const std::map<std::uint64_t, QueuedFlow>&
+Lane(const ShardQueue& aQueue, QueueLane aLane)
+{
+  return aQueue.mLanes.at(static_cast<std::size_t>(aLane));
+}
+
+bool
+Enqueue(ShardQueue& aQueue, QueueLane aLane, const QueuedFlow& aFlow)
+{
+  const auto arrival = aQueue.mArrivals;
+  if (!aQueue.mPositions
+         .try_emplace(aFlow.mFlow, QueuePosition{ aLane, arrival })
+         .second) {
+    return false;
+  }
+  ++aQueue.mArrivals;
+  MutableLane(aQueue, aLane).emplace(arrival, aFlow);
+  aQueue.mDeadlines.emplace(aFlow.mDeadline, aFlow.mFlow);
+  return true;
+}
+
+bool
+RemoveQueued(ShardQueue& aQueue, std::uint64_t aFlow)
+{
+  const auto position = aQueue.mPositions.find(aFlow);
+  if (position == aQueue.mPositions.end()) {
+    return false;
+  }
+  auto& lane = MutableLane(aQueue, position->second.mLane);
+  const auto entry = lane.find(position->second.mArrival);
+  aQueue.mDeadlines.erase({ entry->second.mDeadline, aFlow });
+  lane.erase(entry);
+  aQueue.mPositions.erase(position);
+  return true;
+}
+
+std::vector<std::uint64_t>
+RemoveExpired(ShardQueue& aQueue, state::TimePoint aNow)
+{
+  std::vector<std::uint64_t> expired;
+  while (!aQueue.mDeadlines.empty() &&
+         aQueue.mDeadlines.begin()->first <= aNow) {
+    expired.push_back(aQueue.mDeadlines.begin()->second);
+    RemoveQueued(aQueue, expired.back());
+  }
+  return expired;
+}
+
+void
+AddHoldingTime(HoldingTime& aHolding, state::Duration aTime)
+{
+  const std::chrono::duration<double> seconds = aTime;
+  ++aHolding.mSamples;
+  const double weight =
+    1 / std::min(static_cast<double>(aHolding.mSamples), kSamples);
+  aHolding.mMean += weight * (std::max(0.0, seconds.count()) - aHolding.mMean);
+}
+
+state::Duration
+ExpectedWait(const HoldingTime& aHolding,
+             std::size_t aAhead,
+             std::uint32_t aSlots)
+{
+  const std::chrono::duration<double> wait{
+    aHolding.mMean * static_cast<double>(aAhead + 1) / std::max(aSlots, 1U)
+  };
+  return std::chrono::duration_cast<state::Duration>(wait);
+}
+
+} // namespace sassafrasknot::coordination
--- /dev/null
+++ b/src/sassafrasknot/coordination/slot_accounting.cpp
@@ -0,0 +1,211 @@
+#include "sassafrasknot/coordination/slot_accounting.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// A feed stays on its default upstream up to this multiple of the mean plus
+/// one connection: tighter makes more exceptions, looser more imbalance.
+constexpr double kTolerance = 1.05;
+/// Places upstreams of last resort behind all others in both indices.
+constexpr double kLastResortPenalty = 1e6;
+
+double
+Load(const UpstreamAccount& aAccount)
+{
+  return static_cast<double>(aAccount.mConnectionsUsed) /
+         std::max(aAccount.mConnections, 1U);
+}
+
+bool
+HasConnection(const UpstreamAccount& aAccount)
+{
+  return aAccount.mUsable && aAccount.mConnectionsUsed < aAccount.mConnections;
+}
+
+bool
+HasSlot(const UpstreamAccount& aAccount)
+{
+  return HasConnection(aAccount) && aAccount.mSlotsUsed < aAccount.mSlots;
+}
+
+double
+ConnectionKey(const UpstreamAccount& aAccount)
+{
+  if (!HasConnection(aAccount)) {
+    return kNeverChosen;
+  }
+  return Load(aAccount) + (aAccount.mLastResort ? kLastResortPenalty : 0);
+}
+
+double
+SlotKey(const UpstreamAccount& aAccount)
+{
+  if (!HasSlot(aAccount)) {
+    return kNeverChosen;
+  }
+  // Load is below one, so it only decides between equal numbers of free slots.
+  return Load(aAccount) - (aAccount.mSlots - aAccount.mSlotsUsed) +
+         (aAccount.mLastResort ? kLastResortPenalty : 0);
+}
+
+void
+AddToSums(SlotAccounting& aAccounting, const UpstreamAccount& aAccount)
+{
+  if (aAccount.mUsable) {
+    aAccounting.mSums.mConnections += aAccount.mConnections;
+    aAccounting.mSums.mConnectionsUsed += aAccount.mConnectionsUsed;
+    aAccounting.mSums.mSlots += aAccount.mSlots;
+    aAccounting.mSums.mLongUsed += aAccount.mLongUsed;
+  }
+}
+
+void
+SubtractFromSums(SlotAccounting& aAccounting, const UpstreamAccount& aAccount)
+{
+  if (aAccount.mUsable) {
+    aAccounting.mSums.mConnections -= aAccount.mConnections;
+    aAccounting.mSums.mConnectionsUsed -= aAccount.mConnectionsUsed;
+    aAccounting.mSums.mSlots -= aAccount.mSlots;
+    aAccounting.mSums.mLongUsed -= aAccount.mLongUsed;
+  }
+}
+
+bool
+WithinTolerance(const SlotAccounting& aAccounting,
+                const UpstreamAccount& aAccount)
+{
+  // The mean is weighted with the limits, so that an upstream in slow start or
+  // with a lower limit is compared with its own part of the load.
+  const auto& sums = aAccounting.mSums;
+  const double mean = static_cast<double>(sums.mConnectionsUsed) /
+                      static_cast<double>(sums.mConnections) *
+                      aAccount.mConnections;
+  return aAccount.mConnectionsUsed <= kTolerance * mean + 1;
+}
+
+bool
+DefaultIsGood(const SlotAccounting& aAccounting,
+              const UpstreamAccount& aAccount,
+              state::FlowClass aFlowClass)
+{
+  if (aAccount.mLastResort) {
+    return false;
+  }
+  return aFlowClass == state::FlowClass::Feed
+           ? HasConnection(aAccount) && WithinTolerance(aAccounting, aAccount)
+           : HasSlot(aAccount);
+}
+
+} // namespace
+
+SlotAccounting
+MakeSlotAccounting(std::vector<UpstreamAccount> aAccounts, double aLongShare)
+{
+  SlotAccounting accounting;
+  accounting.mLongShare = aLongShare;
+  accounting.mByConnections = MakeWinnerTree(aAccounts.size());
+  accounting.mByFreeSlots = MakeWinnerTree(aAccounts.size());
+  accounting.mAccounts.resize(aAccounts.size());
+  for (std::size_t index = 0; index < aAccounts.size(); ++index) {
+    accounting.mByAddress.emplace(aAccounts[index].mAddress.mValue, index);
+    ReplaceAccount(accounting, index, aAccounts[index]);
+  }
+  return accounting;
+}
+
+std::optional<std::size_t>
+FindUpstream(const SlotAccounting& aAccounting, state::Ipv4Address aAddress)
+{
+  const auto found = aAccounting.mByAddress.find(aAddress.mValue);
+  if (found == aAccounting.mByAddress.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+ReplaceAccount(SlotAccounting& aAccounting,
+               std::size_t aIndex,
+               const UpstreamAccount& aAccount)
+{
+  auto& account = aAccounting.mAccounts[aIndex];
+  SubtractFromSums(aAccounting, account);
+  account = aAccount;
+  AddToSums(aAccounting, account);
+  SetKey(aAccounting.mByConnections, aIndex, ConnectionKey(account));
+  SetKey(aAccounting.mByFreeSlots, aIndex, SlotKey(account));
+}
+
+void
+AddFlow(SlotAccounting& aAccounting,
+        std::size_t aIndex,
+        state::FlowClass aFlowClass)
+{
+  auto account = aAccounting.mAccounts[aIndex];
+  ++account.mConnectionsUsed;
+  if (aFlowClass != state::FlowClass::Feed) {
+    ++account.mSlotsUsed;
+  }
+  if (aFlowClass == state::FlowClass::Long) {
+    ++account.mLongUsed;
+  }
+  ReplaceAccount(aAccounting, aIndex, account);
+}
+
+void
+RemoveFlow(SlotAccounting& aAccounting,
+           std::size_t aIndex,
+           state::FlowClass aFlowClass)
+{
+  const auto decrement = [](std::uint32_t& aCount) {
+    aCount -= aCount > 0 ? 1 : 0;
+  };
+  auto account = aAccounting.mAccounts[aIndex];
+  decrement(account.mConnectionsUsed);
+  if (aFlowClass != state::FlowClass::Feed) {
+    decrement(account.mSlotsUsed);
+  }
+  if (aFlowClass == state::FlowClass::Long) {
+    decrement(account.mLongUsed);
+  }
+  ReplaceAccount(aAccounting, aIndex, account);
+}
+
+std::uint32_t
+LongSlots(const SlotAccounting& aAccounting)
+{
+  const auto slots = aAccounting.mSums.mSlots;
+  const auto share = static_cast<std::uint32_t>(aAccounting.mLongShare * slots);
+  return aAccounting.mLongShare > 0 && slots > 0 ? std::max(share, 1U) : 0;
+}
+
+std::optional<std::size_t>
+ChooseUpstream(SlotAccounting& aAccounting,
+               state::FlowClass aFlowClass,
+               std::optional<std::size_t> aDefault,
+               std::optional<std::size_t> aExcluded)
+{
+  if (aFlowClass == state::FlowClass::Long &&
+      aAccounting.mSums.mLongUsed >= LongSlots(aAccounting)) {
+    return std::nullopt;
+  }
+  if (aDefault && aDefault != aExcluded &&
+      DefaultIsGood(
+        aAccounting, aAccounting.mAccounts[*aDefault], aFlowClass)) {
+    return aDefault;
+  }
+  auto& tree = aFlowClass == state::FlowClass::Feed ? aAccounting.mByConnections
+                                                    : aAccounting.mByFreeSlots;
+  if (!aExcluded) {
+    return Winner(tree);
+  }
+  const double key = tree.mKeys[*aExcluded];
+  SetKey(tree, *aExcluded, kNeverChosen);
+  const auto winner = Winner(tree);
+  SetKey(tree, *aExcluded, key);
+  return winner;
+}
+
+} // namespace sassafrasknot::coordination
--- /dev/null
+++ b/src/sassafrasknot/coordination/upstream_health.cpp
@@ -0,0 +1,142 @@
+#include "sassafrasknot/coordination/upstream_health.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// Observations lose half of their weight in this time, so that a short fault
+/// is forgotten soon.
+constexpr std::chrono::seconds kHalfLife{ 5 };
+/// Failures that eject when they are at least half of the recent flows. Fewer
+/// could be the ordinary refusals of an upstream that sheds load.
+constexpr double kFailuresToEject = 4;
+/// Failures in a row that eject an upstream with too little traffic for the
+/// rule above.
+constexpr std::uint32_t kConsecutiveToEject = 5;
+constexpr std::chrono::seconds kFirstEjection{ 2 };
+constexpr std::uint32_t kMostDoublings = 5;
+/// A trial flow without a result makes room for another one after this time.
+constexpr std::chrono::seconds kTrialTimeout{ 5 };
+/// Health that lasts this long makes the next ejection short again.
+constexpr std::chrono::seconds kForgetEjections{ 60 };
+
+void
+Decay(UpstreamHealth& aHealth, state::TimePoint aNow)
+{
+  if (aNow <= aHealth.mDecayed) {
+    return;
+  }
+  const std::chrono::duration<double> elapsed = aNow - aHealth.mDecayed;
+  const std::chrono::duration<double> halfLife = kHalfLife;
+  const double factor = std::exp2(-elapsed.count() / halfLife.count());
+  aHealth.mFailures *= factor;
+  aHealth.mSuccesses *= factor;
+  aHealth.mDecayed = aNow;
+}
+
+} // namespace
+
+bool
+NoteFailure(UpstreamHealth& aHealth, FailureKind aKind, state::TimePoint aNow)
+{
+  if (aHealth.mPhase == HealthPhase::Tried) {
+    return true;
+  }
+  if (aHealth.mPhase != HealthPhase::Healthy) {
+    return false;
+  }
+  Decay(aHealth, aNow);
+  aHealth.mFailures += 1;
+  ++aHealth.mConsecutive;
+  if (aKind == FailureKind::Reset) {
+    // The flow was counted as a success when it was accepted.
+    aHealth.mSuccesses = std::max(0.0, aHealth.mSuccesses - 1);
+  }
+  return (aHealth.mFailures >= kFailuresToEject &&
+          aHealth.mFailures >= aHealth.mSuccesses) ||
+         (aHealth.mConsecutive >= kConsecutiveToEject &&
+          aHealth.mSuccesses < 1);
+}
+
+bool
+NoteSuccess(UpstreamHealth& aHealth, state::TimePoint aNow)
+{
+  if (aHealth.mPhase == HealthPhase::Tried) {
+    aHealth.mPhase = HealthPhase::Healthy;
+    aHealth.mFailures = 0;
+    aHealth.mSuccesses = 1;
+    aHealth.mDecayed = aNow;
+    aHealth.mConsecutive = 0;
+    aHealth.mReturned = aNow;
+    return true;
+  }
+  if (aHealth.mPhase == HealthPhase::Healthy) {
+    Decay(aHealth, aNow);
+    aHealth.mSuccesses += 1;
+    aHealth.mConsecutive = 0;
+  }
+  return false;
+}
+
+void
+Eject(UpstreamHealth& aHealth, state::TimePoint aNow, bool aAllowed)
+{
+  if (aHealth.mPhase == HealthPhase::Healthy &&
+      aNow - aHealth.mReturned > kForgetEjections) {
+    aHealth.mEjections = 0;
+  }
+  const auto doublings = std::min(aHealth.mEjections, kMostDoublings);
+  aHealth.mPhase = aAllowed ? HealthPhase::Ejected : HealthPhase::Suspected;
+  aHealth.mUntil = aNow + kFirstEjection * (1U << doublings);
+  aHealth.mEjections = doublings + 1;
+}
+
+bool
+AdvanceHealth(UpstreamHealth& aHealth, state::TimePoint aNow)
+{
+  if (aHealth.mPhase == HealthPhase::Healthy ||
+      aHealth.mPhase == HealthPhase::Trial || aNow < aHealth.mUntil) {
+    return false;
+  }
+  if (aHealth.mPhase == HealthPhase::Suspected) {
+    // The next failure suspects it again, a success clears it.
+    aHealth.mPhase = HealthPhase::Healthy;
+    aHealth.mReturned = aNow;
+    aHealth.mFailures = kFailuresToEject - 1;
+    aHealth.mSuccesses = 0;
+    aHealth.mDecayed = aNow;
+    aHealth.mConsecutive = kConsecutiveToEject - 1;
+  } else {
+    aHealth.mPhase = HealthPhase::Trial;
+  }
+  return true;
+}
+
+void
+NotePlacement(UpstreamHealth& aHealth, state::TimePoint aNow)
+{
+  if (aHealth.mPhase == HealthPhase::Trial) {
+    aHealth.mPhase = HealthPhase::Tried;
+    aHealth.mUntil = aNow + kTrialTimeout;
+  }
+}
+
+bool
+CountsAsEjected(const UpstreamHealth& aHealth)
+{
+  return aHealth.mPhase == HealthPhase::Ejected ||
+         aHealth.mPhase == HealthPhase::Trial ||
+         aHealth.mPhase == HealthPhase::Tried;
+}
+
+bool
+Admits(const UpstreamHealth& aHealth)
+{
+  return aHealth.mPhase != HealthPhase::Ejected &&
+         aHealth.mPhase != HealthPhase::Tried;
+}
+
+} // namespace sassafrasknot::coordination
