Split the shard into placement, upstreams and accounts

Change: shard_state.hpp holds the struct, shard_placement.cpp places and serves the queue, shard_upstreams.cpp applies health and slow start. No change of behaviour. Before and after: JOBS=3 scripts/test passes 3 of 3 programs.

--- a/include/sassafrasknot/coordination/shard_queue.hpp
+++ b/include/sassafrasknot/coordination/shard_queue.hpp
@@ -2,6 +2,7 @@
 #define SASSAFRASKNOT_COORDINATION_SHARD_QUEUE_HPP
 
 #include "sassafrasknot/state/endpoint.hpp"
+#include "sassafrasknot/state/flow.hpp"
 #include "sassafrasknot/state/time.hpp"
 
 #include <array>
@@ -49,6 +50,18 @@
   std::uint64_t mArrivals = 0;
 };
 
+/// @brief Returns the lane of a class that takes a slot.
+/// @param aFlowClass the class
+/// @return Long for long work, else Work
+QueueLane
+LaneOf(state::FlowClass aFlowClass);
+
+/// @brief Returns the class of a lane's flows.
+/// @param aLane the lane
+/// @return its class
+state::FlowClass
+ClassOf(QueueLane aLane);
+
 /// @brief Returns the flows of one lane by arrival.
 /// @param aQueue the queue
 /// @param aLane the lane
--- /dev/null
+++ b/src/sassafrasknot/coordination/shard_placement.cpp
@@ -0,0 +1,194 @@
+#include "sassafrasknot/coordination/shard_state.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+void
+TakeFlow(Shard& aShard,
+         std::size_t aIndex,
+         state::FlowClass aFlowClass,
+         state::TimePoint aNow)
+{
+  AddFlow(aShard.mAccounting, aIndex, aFlowClass);
+  if (auto& health = aShard.mRecords[aIndex].mHealth;
+      health.mPhase == HealthPhase::Trial) {
+    NotePlacement(health, aNow);
+    ApplyRecord(aShard, aIndex, aNow);
+  }
+}
+
+std::optional<Placed>
+TryPlace(Shard& aShard,
+         state::FlowClass aFlowClass,
+         const QueuedFlow& aFlow,
+         state::TimePoint aNow)
+{
+  auto& accounting = aShard.mAccounting;
+  const auto excluded =
+    aFlow.mExcluded ? FindUpstream(accounting, *aFlow.mExcluded) : std::nullopt;
+  const auto chosen = ChooseUpstream(
+    accounting, aFlowClass, FindUpstream(accounting, aFlow.mDefault), excluded);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  TakeFlow(aShard, *chosen, aFlowClass, aNow);
+  return Placed{ aFlow.mFlow, accounting.mAccounts[*chosen].mAddress };
+}
+
+bool
+LongShareLeft(const Shard& aShard)
+{
+  return aShard.mAccounting.mSums.mLongUsed < LongSlots(aShard.mAccounting);
+}
+
+/// Returns whether a queued flow has an older claim to a free slot.
+bool
+MustQueue(const Shard& aShard, QueueLane aLane)
+{
+  if (!Lane(aShard.mQueue, QueueLane::Work).empty()) {
+    return true;
+  }
+  return !Lane(aShard.mQueue, QueueLane::Long).empty() &&
+         (aLane == QueueLane::Long || LongShareLeft(aShard));
+}
+
+/// Returns why a flow must not enter the queue, if there is a reason.
+std::optional<RefusalReason>
+ReasonNotToQueue(const Shard& aShard,
+                 QueueLane aLane,
+                 state::Duration aDeadline)
+{
+  const auto& sums = aShard.mAccounting.mSums;
+  if (sums.mSlots == 0) {
+    return RefusalReason::NoUpstream;
+  }
+  const auto queued = aShard.mQueue.mPositions.size();
+  const auto ahead = Lane(aShard.mQueue, aLane).size();
+  const double limit = aShard.mLimits.mQueuePerSlot * sums.mSlots;
+  // Long work must not fill the queue either.
+  const double laneLimit =
+    aLane == QueueLane::Long ? limit * aShard.mLimits.mLongShare : limit;
+  if (static_cast<double>(queued + 1) > limit ||
+      static_cast<double>(ahead + 1) > laneLimit) {
+    return RefusalReason::QueueFull;
+  }
+  const auto slots = aLane == QueueLane::Long
+                       ? LongSlots(aShard.mAccounting)
+                       : sums.mSlots - std::min(sums.mSlots, sums.mLongUsed);
+  const auto& holding = aShard.mHolding.at(static_cast<std::size_t>(aLane));
+  if (aDeadline <= state::Duration::zero() ||
+      ExpectedWait(holding, ahead, slots) > aDeadline) {
+    return RefusalReason::WaitTooLong;
+  }
+  return std::nullopt;
+}
+
+PlacementDecision
+PlaceWork(Shard& aShard,
+          const PlacementRequest& aRequest,
+          state::TimePoint aNow)
+{
+  const auto lane = LaneOf(aRequest.mFlowClass);
+  const QueuedFlow flow{ aRequest.mFlow,
+                         aRequest.mDefault,
+                         aRequest.mExcluded,
+                         aNow + aRequest.mQueueDeadline };
+  if (aShard.mQueue.mPositions.contains(aRequest.mFlow)) {
+    return Queued{ aRequest.mFlow };
+  }
+  if (!MustQueue(aShard, lane)) {
+    if (const auto placed = TryPlace(aShard, aRequest.mFlowClass, flow, aNow)) {
+      return *placed;
+    }
+  }
+  if (const auto reason =
+        ReasonNotToQueue(aShard, lane, aRequest.mQueueDeadline)) {
+    return Refused{ aRequest.mFlow, *reason };
+  }
+  Enqueue(aShard.mQueue, lane, flow);
+  return Queued{ aRequest.mFlow };
+}
+
+/// Refuses queued flows that no upstream can serve any more.
+void
+RefuseUnservable(Shard& aShard,
+                 state::TimePoint aNow,
+                 std::vector<PlacementDecision>& aDecisions)
+{
+  for (const auto flow : RemoveExpired(aShard.mQueue, aNow)) {
+    aDecisions.emplace_back(Refused{ flow, RefusalReason::DeadlinePassed });
+  }
+  if (aShard.mAccounting.mSums.mSlots > 0) {
+    return;
+  }
+  // The caller can then send them to another shard.
+  for (const auto flow :
+       RemoveExpired(aShard.mQueue, state::TimePoint::max())) {
+    aDecisions.emplace_back(Refused{ flow, RefusalReason::NoUpstream });
+  }
+}
+
+} // namespace
+
+PlacementDecision
+Place(Shard& aShard, const PlacementRequest& aRequest, state::TimePoint aNow)
+{
+  Refresh(aShard, aNow);
+  if (!aRequest.mExcluded) {
+    EarnRetry(aShard.mRetries);
+  }
+  if (aRequest.mFlowClass != state::FlowClass::Feed) {
+    return PlaceWork(aShard, aRequest, aNow);
+  }
+  const QueuedFlow flow{
+    aRequest.mFlow, aRequest.mDefault, aRequest.mExcluded, aNow
+  };
+  if (const auto placed = TryPlace(aShard, aRequest.mFlowClass, flow, aNow)) {
+    return *placed;
+  }
+  return Refused{ aRequest.mFlow, RefusalReason::NoUpstream };
+}
+
+void
+CancelQueued(Shard& aShard, std::uint64_t aFlow)
+{
+  RemoveQueued(aShard.mQueue, aFlow);
+}
+
+std::vector<PlacementDecision>
+ServeQueue(Shard& aShard, state::TimePoint aNow)
+{
+  Refresh(aShard, aNow);
+  std::vector<PlacementDecision> decisions;
+  RefuseUnservable(aShard, aNow, decisions);
+  const auto& work = Lane(aShard.mQueue, QueueLane::Work);
+  const auto& longWork = Lane(aShard.mQueue, QueueLane::Long);
+  auto nextWork = work.begin();
+  auto nextLong = longWork.begin();
+  while (true) {
+    const bool mayLong = nextLong != longWork.end() && LongShareLeft(aShard);
+    if (nextWork == work.end() && !mayLong) {
+      break;
+    }
+    const bool takeLong =
+      mayLong && (nextWork == work.end() || nextLong->first < nextWork->first);
+    const auto lane = takeLong ? QueueLane::Long : QueueLane::Work;
+    auto& next = takeLong ? nextLong : nextWork;
+    const auto flow = next->second;
+    const auto placed = TryPlace(aShard, ClassOf(lane), flow, aNow);
+    if (!placed && !flow.mExcluded) {
+      break;
+    }
+    // A flow that only its excluded upstream could take lets others pass.
+    ++next;
+    if (placed) {
+      RemoveQueued(aShard.mQueue, flow.mFlow);
+      decisions.emplace_back(*placed);
+    }
+  }
+  return decisions;
+}
+
+} // namespace sassafrasknot::coordination
--- a/src/sassafrasknot/coordination/shard_queue.cpp
+++ b/src/sassafrasknot/coordination/shard_queue.cpp
@@ -18,6 +18,20 @@
 
 } // namespace
 
+QueueLane
+LaneOf(state::FlowClass aFlowClass)
+{
+  return aFlowClass == state::FlowClass::Long ? QueueLane::Long
+                                              : QueueLane::Work;
+}
+
+state::FlowClass
+ClassOf(QueueLane aLane)
+{
+  return aLane == QueueLane::Long ? state::FlowClass::Long
+                                  : state::FlowClass::Work;
+}
+
 const std::map<std::uint64_t, QueuedFlow>&
 Lane(const ShardQueue& aQueue, QueueLane aLane)
 {
