--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -2,7 +2,7 @@
 # folder with public headers in include/sassafrasknot/NAME, sources and tests
 # side by side in src/sassafrasknot/NAME and examples in examples/NAME.
 
-set(SASSAFRASKNOT_COMPILE_OPTIONS -Wall -Wextra -Wpedantic)
+set(SASSAFRASKNOT_COMPILE_OPTIONS -Wall -Wextra -Wpedantic -Wno-missing-field-initializers)
 
 # Adds the library sassafrasknot::NAME, its tests and its examples.
 function(sassafrasknot_module NAME)
--- /dev/null
+++ b/src/sassafrasknot/coordination/answer_packets.cpp
@@ -0,0 +1,202 @@
+#include "sassafrasknot/coordination/answer_packets.hpp"
+
+#include "sassafrasknot/coordination/flow_lifecycle.hpp"
+#include "sassafrasknot/coordination/recovery.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// Resets the upstream's side of a flow that is placed elsewhere.
+void
+DropLateAnswer(TrafficState& aState, const state::FlowEvent& aEvent)
+{
+  if (aEvent.mKind == state::SegmentKind::OpenAnswer) {
+    Act(aState,
+        ResetUpstream{ aEvent.mKey, aEvent.mUpstream, aEvent.mAcknowledged });
+  }
+  DropPacket(aState, "packets_dropped_late_answer_total");
+}
+
+void
+OnUpstreamReset(TrafficState& aState,
+                state::TimePoint aNow,
+                const state::FlowEvent& aEvent,
+                FlowEntry& aEntry)
+{
+  if (aEntry.mStage == FlowStage::Opening) {
+    DropPacket(aState, "packets_dropped_opening_refused_total");
+    PlaceAgain(aState, aNow, aEvent.mKey, FailureKind::Refused);
+    return;
+  }
+  if (aEntry.mStage == FlowStage::Established) {
+    OnFailed(*AccountOf(aState, aEntry.mShard, aNow).mShard,
+             aEvent.mUpstream.mAddress,
+             FailureKind::Reset,
+             aNow);
+    state::Increment(aState.mCounters, "flows_broken_upstream_reset_total");
+  }
+  Act(aState, SendToCaller{ aEvent.mKey.mService });
+  CloseFlow(aState, aNow, aEvent.mKey, aEntry);
+}
+
+/// Decides on an opening, finishing or resetting answer of a known flow.
+void
+OnControlAnswer(TrafficState& aState,
+                state::TimePoint aNow,
+                const state::FlowEvent& aEvent,
+                FlowEntry& aEntry)
+{
+  if (aEntry.mStage == FlowStage::Queued ||
+      aEntry.mUpstream != aEvent.mUpstream) {
+    DropLateAnswer(aState, aEvent);
+    return;
+  }
+  if (aEvent.mKind == state::SegmentKind::Reset) {
+    OnUpstreamReset(aState, aNow, aEvent, aEntry);
+    return;
+  }
+  if (aEntry.mStage == FlowStage::Opening) {
+    AcceptFlow(aState, aNow, aEvent.mKey, aEntry);
+  }
+  aEntry.mLastUpstream = aNow;
+  aEntry.mAnswered |= aEvent.mPayload > 0;
+  Act(aState, SendToCaller{ aEvent.mKey.mService });
+  if (aEvent.mKind == state::SegmentKind::Finish) {
+    aEntry.mUpstreamFinished = true;
+    if (aEntry.mCallerFinished) {
+      CloseFlow(aState, aNow, aEvent.mKey, aEntry);
+    }
+  }
+}
+
+/// Decides on such an answer of a flow that this owner does not know: the flow
+/// was placed by an owner before it.
+void
+OnUnknownControlAnswer(TrafficState& aState,
+                       state::TimePoint aNow,
+                       const state::FlowEvent& aEvent,
+                       std::uint32_t aService,
+                       std::uint64_t aShard)
+{
+  if (aEvent.mKind == state::SegmentKind::Reset) {
+    RuleOutCandidate(aState, aEvent.mKey, aEvent.mUpstream);
+    DropPacket(aState, "packets_dropped_unverified_reset_total");
+    return;
+  }
+  auto& entry = LearnPlacement(
+    aState, aNow, aEvent.mKey, aEvent.mUpstream, aService, aShard);
+  OnControlAnswer(aState, aNow, aEvent, entry);
+}
+
+/// Sends an opening, finishing or resetting answer to the flow's owner, or
+/// decides on it if this instance knows the flow or owns the shard.
+void
+RouteControlAnswer(TrafficState& aState,
+                   state::TimePoint aNow,
+                   const PacketEvent& aPacket,
+                   std::uint32_t aService,
+                   std::uint64_t aShard)
+{
+  const auto& event = aPacket.mFlow;
+  if (const auto found = aState.mFlows.find(event.mKey);
+      found != aState.mFlows.end() &&
+      found->second.mStage != FlowStage::Elsewhere) {
+    OnControlAnswer(aState, aNow, event, found->second);
+    return;
+  }
+  const auto* const owner = OwnerOf(aState.mIndex, aShard);
+  if (owner == nullptr) {
+    DropPacket(aState, "packets_dropped_no_owner_total");
+    return;
+  }
+  if (IsSelf(aState.mIndex, owner)) {
+    OnUnknownControlAnswer(aState, aNow, event, aService, aShard);
+    return;
+  }
+  const bool visited =
+    std::ranges::find(aPacket.mHops, owner->mId) != aPacket.mHops.end();
+  if (visited || aPacket.mHops.size() >= kMaxHops) {
+    DropPacket(aState, "packets_dropped_unknown_flow_total");
+    return;
+  }
+  Act(aState, Forward{ owner->mId });
+}
+
+} // namespace
+
+void
+OnAnswerPacket(TrafficState& aState,
+               state::TimePoint aNow,
+               const PacketEvent& aPacket)
+{
+  const auto& snapshot = *aState.mIndex.mSnapshot;
+  const auto bound = snapshot.mReverse.find(aPacket.mFlow.mUpstream);
+  if (bound == snapshot.mReverse.end()) {
+    DropPacket(aState, "packets_dropped_unknown_upstream_total");
+    return;
+  }
+  const auto service = bound->second.mService;
+  PacketEvent packet = aPacket;
+  packet.mFlow.mKey.mService = { snapshot.mServices[service].mService.mAddress,
+                                 bound->second.mListenerPort };
+  const auto shard =
+    ShardOfUpstream(aState.mIndex, service, packet.mFlow.mUpstream.mAddress);
+  if (!shard) {
+    DropPacket(aState, "packets_dropped_unknown_upstream_total");
+    return;
+  }
+  if (packet.mFlow.mKind != state::SegmentKind::Data) {
+    RouteControlAnswer(aState, aNow, packet, service, *shard);
+    return;
+  }
+  Act(aState, SendToCaller{ packet.mFlow.mKey.mService });
+  const AnswerReport report{ packet.mFlow.mKey,
+                             packet.mFlow.mUpstream,
+                             packet.mFlow.mKind,
+                             packet.mFlow.mPayload > 0,
+                             packet.mFlow.mSequence + packet.mFlow.mPayload };
+  if (IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard))) {
+    NoteAnswer(aState, aNow, report);
+    return;
+  }
+  ReportAnswer(aState.mReporter, *shard, report, aState.mCounters);
+}
+
+void
+NoteAnswer(TrafficState& aState,
+           state::TimePoint aNow,
+           const AnswerReport& aReport)
+{
+  const auto service = ServiceOfFlow(aState.mIndex, aReport.mKey);
+  if (!service || !MaySend(aState.mIndex, *service, aReport.mUpstream)) {
+    state::Increment(aState.mCounters, "answer_reports_unbound_total");
+    return;
+  }
+  const auto shard =
+    ShardOfUpstream(aState.mIndex, *service, aReport.mUpstream.mAddress);
+  if (!shard) {
+    return;
+  }
+  auto found = aState.mFlows.find(aReport.mKey);
+  if (found == aState.mFlows.end() ||
+      found->second.mStage == FlowStage::Elsewhere) {
+    if (IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard))) {
+      LearnPlacement(
+        aState, aNow, aReport.mKey, aReport.mUpstream, *service, *shard);
+    }
+    return;
+  }
+  auto& entry = found->second;
+  if (entry.mUpstream != aReport.mUpstream ||
+      entry.mStage != FlowStage::Established) {
+    return;
+  }
+  entry.mLastUpstream = aNow;
+  entry.mAnswered |= aReport.mPayload;
+  AccountOf(aState, entry.mShard, aNow).mProgress[entry.mUpstream.mAddress] =
+    aNow;
+}
+
+} // namespace sassafrasknot::coordination
--- /dev/null
+++ b/src/sassafrasknot/coordination/answer_reports.cpp
@@ -0,0 +1,114 @@
+#include "sassafrasknot/coordination/answer_reports.hpp"
+
+#include "sassafrasknot/state/hashing.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// Share of the 5 KB/s of a node that reports may take.
+constexpr double kReportBytesPerSecond = 1000;
+constexpr double kReportBurstBytes = 4000;
+/// An encoded report: flow, upstream and flags.
+constexpr double kReportBytes = 26;
+/// UDP, IP and message headers of one datagram.
+constexpr double kMessageBytes = 40;
+/// One bit per flow: two flows share a bit with probability 3% at 32,200
+/// reported flows, and the report of the second one comes a period later.
+constexpr std::size_t kFilterBits = std::size_t{ 1 } << 20;
+/// Below the keepalive interval, so that the answer to each keepalive is
+/// reported.
+constexpr auto kShortestPeriod = std::chrono::seconds{ 20 };
+constexpr std::size_t kMostPending = 8192;
+/// Fits into one datagram of 1,400 bytes.
+constexpr std::size_t kMostPerMessage = 48;
+
+std::uint64_t
+SaltOf(const AnswerReporter& aReporter, std::uint64_t aShard)
+{
+  const auto found = aReporter.mSalts.find(aShard);
+  return found == aReporter.mSalts.end() ? 0 : found->second;
+}
+
+void
+StartPeriod(AnswerReporter& aReporter, state::TimePoint aNow)
+{
+  const double seconds = static_cast<double>(aReporter.mReportedInPeriod) *
+                         kReportBytes / kReportBytesPerSecond;
+  const auto needed = std::chrono::duration_cast<state::Duration>(
+    std::chrono::duration<double>(seconds));
+  aReporter.mPeriod = std::max<state::Duration>(kShortestPeriod, needed);
+  aReporter.mPeriodStarted = aNow;
+  aReporter.mReportedInPeriod = 0;
+  aReporter.mCurrent.assign(kFilterBits, false);
+}
+
+} // namespace
+
+AnswerReporter
+MakeAnswerReporter(state::TimePoint aNow)
+{
+  AnswerReporter reporter;
+  reporter.mCurrent.assign(kFilterBits, false);
+  reporter.mBudget =
+    MakeTokenBucket(kReportBytesPerSecond, kReportBurstBytes, aNow);
+  reporter.mPeriodStarted = aNow;
+  reporter.mPeriod = kShortestPeriod;
+  return reporter;
+}
+
+void
+ReportAnswer(AnswerReporter& aReporter,
+             std::uint64_t aShard,
+             const AnswerReport& aReport,
+             state::Counters& aCounters)
+{
+  const auto salted =
+    state::CombineHashes(state::Hash(aReport.mKey), SaltOf(aReporter, aShard));
+  const auto bit =
+    state::CombineHashes(salted, aReport.mPayload ? 1 : 0) % kFilterBits;
+  if (aReporter.mCurrent[bit]) {
+    return;
+  }
+  if (aReporter.mPending.size() >= kMostPending) {
+    state::Increment(aCounters, "answer_reports_dropped_total");
+    return;
+  }
+  aReporter.mCurrent[bit] = true;
+  ++aReporter.mReportedInPeriod;
+  aReporter.mPending.emplace_back(aShard, aReport);
+}
+
+void
+ReportShardAgain(AnswerReporter& aReporter, std::uint64_t aShard)
+{
+  ++aReporter.mSalts[aShard];
+}
+
+std::unordered_map<std::uint64_t, AnswerReports>
+TakeReports(AnswerReporter& aReporter, state::TimePoint aNow)
+{
+  if (aNow - aReporter.mPeriodStarted >= aReporter.mPeriod) {
+    StartPeriod(aReporter, aNow);
+  }
+  std::unordered_map<std::uint64_t, AnswerReports> taken;
+  while (!aReporter.mPending.empty()) {
+    const auto& [shard, report] = aReporter.mPending.front();
+    const auto found = taken.find(shard);
+    if (found != taken.end() &&
+        found->second.mReports.size() >= kMostPerMessage) {
+      break;
+    }
+    const double cost =
+      kReportBytes + (found == taken.end() ? kMessageBytes : 0);
+    if (!TakeTokens(aReporter.mBudget, cost, aNow)) {
+      break;
+    }
+    taken[shard].mReports.push_back(report);
+    aReporter.mPending.pop_front();
+  }
+  return taken;
+}
+
+} // namespace sassafrasknot::coordination
--- /dev/null
+++ b/src/sassafrasknot/coordination/answer_reports.hpp
@@ -0,0 +1,54 @@
+#ifndef SASSAFRASKNOT_SRC_COORDINATION_ANSWER_REPORTS_HPP
+#define SASSAFRASKNOT_SRC_COORDINATION_ANSWER_REPORTS_HPP
+
+#include "sassafrasknot/coordination/token_bucket.hpp"
+#include "sassafrasknot/coordination/traffic_message.hpp"
+#include "sassafrasknot/state/counters.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace sassafrasknot::coordination {
+
+/// Reports of the answers that this instance has rewritten, for the owners of
+/// their flows: at most one per flow and period, within the control budget.
+struct AnswerReporter
+{
+  /// Flows reported in this period, one bit each.
+  std::vector<bool> mCurrent;
+  /// Changes per shard so that its flows are reported again.
+  std::unordered_map<std::uint64_t, std::uint64_t> mSalts;
+  std::deque<std::pair<std::uint64_t, AnswerReport>> mPending;
+  TokenBucket mBudget;
+  state::TimePoint mPeriodStarted;
+  state::Duration mPeriod{};
+  std::size_t mReportedInPeriod = 0;
+};
+
+AnswerReporter
+MakeAnswerReporter(state::TimePoint aNow);
+
+/// Queues a report unless the flow was reported in this period.
+void
+ReportAnswer(AnswerReporter& aReporter,
+             std::uint64_t aShard,
+             const AnswerReport& aReport,
+             state::Counters& aCounters);
+
+/// Makes the flows of a shard be reported again.
+void
+ReportShardAgain(AnswerReporter& aReporter, std::uint64_t aShard);
+
+/// Takes the reports that the budget allows now, by shard. Starts a new period
+/// when it is time; a period in which many flows were reported makes the next
+/// one longer.
+std::unordered_map<std::uint64_t, AnswerReports>
+TakeReports(AnswerReporter& aReporter, state::TimePoint aNow);
+
+} // namespace sassafrasknot::coordination
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/coordination/flow_lifecycle.hpp
@@ -0,0 +1,80 @@
+#ifndef SASSAFRASKNOT_SRC_COORDINATION_FLOW_LIFECYCLE_HPP
+#define SASSAFRASKNOT_SRC_COORDINATION_FLOW_LIFECYCLE_HPP
+
+#include "sassafrasknot/coordination/traffic_state.hpp"
+
+namespace sassafrasknot::coordination {
+
+/// Says what the caller of a flow may be told if the flow ends now.
+state::Verdict
+VerdictOf(const FlowEntry& aEntry);
+
+/// Sends the opening packet at hand to an upstream, to the owner of one of the
+/// flow's shards, or refuses it.
+void
+OpenFlow(TrafficState& aState,
+         state::TimePoint aNow,
+         const PacketEvent& aPacket,
+         std::uint32_t aService);
+
+/// Carries out the decision on a flow that was queued.
+void
+ApplyQueueDecision(TrafficState& aState,
+                   state::TimePoint aNow,
+                   const PlacementDecision& aDecision);
+
+/// Places a flow again whose upstream did not accept it, or refuses it.
+/// Nothing but the opening segment may have been forwarded.
+void
+PlaceAgain(TrafficState& aState,
+           state::TimePoint aNow,
+           const state::FlowKey& aKey,
+           FailureKind aFailure);
+
+/// Accounts an established flow whose upstream was learned.
+FlowEntry&
+AdoptFlow(TrafficState& aState,
+          state::TimePoint aNow,
+          const FlowRecord& aRecord,
+          std::uint32_t aService,
+          std::uint64_t aShard);
+
+/// Notes that another shard's owner accounts the flow.
+void
+NoteElsewhere(TrafficState& aState,
+              state::TimePoint aNow,
+              const state::FlowKey& aKey,
+              const state::Endpoint& aUpstream,
+              std::uint64_t aShard);
+
+/// Notes that the upstream accepted the flow.
+void
+AcceptFlow(TrafficState& aState,
+           state::TimePoint aNow,
+           const state::FlowKey& aKey,
+           FlowEntry& aEntry);
+
+/// Ends the flow: frees its account and tells the backup. Late segments still
+/// go to its upstream until the entry is dropped.
+void
+CloseFlow(TrafficState& aState,
+          state::TimePoint aNow,
+          const state::FlowKey& aKey,
+          FlowEntry& aEntry);
+
+/// Frees the account and forgets the flow.
+void
+ForgetFlow(TrafficState& aState,
+           state::TimePoint aNow,
+           const state::FlowKey& aKey);
+
+/// Moves a flow's account to the class that it turned out to have.
+void
+ReclassifyFlow(TrafficState& aState,
+               state::TimePoint aNow,
+               FlowEntry& aEntry,
+               state::FlowClass aTo);
+
+} // namespace sassafrasknot::coordination
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/coordination/flow_route.cpp
@@ -0,0 +1,97 @@
+#include "sassafrasknot/coordination/flow_route.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// The first two shards of a flow hold nearly all flows; the third is reached
+/// only when two data centres were cut off or full.
+constexpr std::size_t kCandidateShards = 2;
+
+bool
+Contains(const std::vector<state::InstanceId>& aHops,
+         const state::InstanceId& aInstance)
+{
+  return std::ranges::find(aHops, aInstance) != aHops.end();
+}
+
+void
+AddCandidate(std::vector<state::Endpoint>& aCandidates,
+             const state::Endpoint& aUpstream)
+{
+  if (std::ranges::find(aCandidates, aUpstream) == aCandidates.end()) {
+    aCandidates.push_back(aUpstream);
+  }
+}
+
+} // namespace
+
+std::vector<RouteStep>
+RouteOfFlow(const SnapshotIndex& aIndex,
+            std::uint32_t aService,
+            std::uint64_t aFlowHash)
+{
+  const auto& snapshot = *aIndex.mSnapshot;
+  std::vector<RouteStep> route;
+  const auto& tables = snapshot.mServices[aService].mTables;
+  if (tables.empty()) {
+    return route;
+  }
+  const auto& table = tables.front();
+  const auto ranked = state::RankShards(table, aFlowHash, table.mShards.size());
+  for (std::size_t rank = 0;
+       rank < ranked.size() && route.size() < kShardsPerFlow;
+       ++rank) {
+    const auto& shard = table.mShards[ranked[rank]];
+    const auto* const owner = OwnerOf(aIndex, shard.mHash);
+    if (owner != nullptr &&
+        snapshot.mReachable.contains(shard.mId.mDataCentre)) {
+      route.push_back({ &shard, owner, rank });
+    }
+  }
+  return route;
+}
+
+const RouteStep*
+NextStep(const std::vector<RouteStep>& aRoute,
+         const std::vector<state::InstanceId>& aHops,
+         std::size_t aFrom)
+{
+  for (std::size_t index = aFrom; index < aRoute.size(); ++index) {
+    if (!Contains(aHops, aRoute[index].mOwner->mId)) {
+      return &aRoute[index];
+    }
+  }
+  return nullptr;
+}
+
+std::vector<state::Endpoint>
+CandidatesOfFlow(const SnapshotIndex& aIndex,
+                 std::uint32_t aService,
+                 const state::FlowKey& aKey)
+{
+  std::vector<state::Endpoint> candidates;
+  const auto* const listener = ListenerOfFlow(aIndex, aService, aKey);
+  if (listener == nullptr) {
+    return candidates;
+  }
+  const auto hash = state::Hash(aKey);
+  for (const auto& table : aIndex.mSnapshot->mServices[aService].mTables) {
+    for (const auto index : state::RankShards(table, hash, kCandidateShards)) {
+      const auto& shard = table.mShards[index];
+      const auto chosen = state::DefaultUpstream(shard, hash);
+      if (!chosen) {
+        continue;
+      }
+      const state::Endpoint upstream{ shard.mUpstreams[*chosen].mAddress,
+                                      listener->mUpstreamPort };
+      if (MaySend(aIndex, aService, upstream)) {
+        AddCandidate(candidates, upstream);
+      }
+    }
+  }
+  return candidates;
+}
+
+} // namespace sassafrasknot::coordination
--- /dev/null
+++ b/src/sassafrasknot/coordination/flow_route.hpp
@@ -0,0 +1,50 @@
+#ifndef SASSAFRASKNOT_SRC_COORDINATION_FLOW_ROUTE_HPP
+#define SASSAFRASKNOT_SRC_COORDINATION_FLOW_ROUTE_HPP
+
+#include "sassafrasknot/coordination/snapshot_index.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace sassafrasknot::coordination {
+
+/// Shards that a flow may be placed in, at most; the first one that can be
+/// reached owns its look-up.
+constexpr std::size_t kShardsPerFlow = 3;
+
+/// Instances that may forward one packet, at most.
+constexpr std::size_t kMaxHops = 3;
+
+/// A shard of a flow and its owner.
+struct RouteStep
+{
+  const state::ShardTable* mShard = nullptr;
+  const state::InstanceView* mOwner = nullptr;
+  /// Rank of the shard for this flow; 0 is its first one.
+  std::size_t mRank = 0;
+};
+
+/// Lists the shards of a flow whose data centre can be reached and that have an
+/// owner, best first.
+std::vector<RouteStep>
+RouteOfFlow(const SnapshotIndex& aIndex,
+            std::uint32_t aService,
+            std::uint64_t aFlowHash);
+
+/// Returns the first step whose owner has not forwarded the packet yet, or
+/// null. Steps before aFrom are passed over.
+const RouteStep*
+NextStep(const std::vector<RouteStep>& aRoute,
+         const std::vector<state::InstanceId>& aHops,
+         std::size_t aFrom = 0);
+
+/// Returns the upstreams that the table history gives for a flow, newest first
+/// and without duplicates, as far as packets may be sent to them now.
+std::vector<state::Endpoint>
+CandidatesOfFlow(const SnapshotIndex& aIndex,
+                 std::uint32_t aService,
+                 const state::FlowKey& aKey);
+
+} // namespace sassafrasknot::coordination
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/coordination/recovery.cpp
@@ -0,0 +1,265 @@
+#include "sassafrasknot/coordination/recovery.hpp"
+
+#include "sassafrasknot/coordination/flow_lifecycle.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// An answer of a peer takes 1 to 2 ms between data centres; by then the
+/// candidates are probed.
+constexpr auto kLookupTimeout = std::chrono::milliseconds{ 50 };
+constexpr auto kProbeInterval = std::chrono::milliseconds{ 500 };
+/// After this the caller is reset, so that it reconnects instead of hanging.
+constexpr auto kRecoveryTimeout = std::chrono::seconds{ 5 };
+/// Bounds the state that a flood of segments of unknown flows can take.
+constexpr std::size_t kMostRecoveries = 20000;
+
+void
+AddTarget(const TrafficState& aState,
+          std::set<state::InstanceId>& aTargets,
+          const state::InstanceView* aInstance)
+{
+  if (aInstance != nullptr && !IsSelf(aState.mIndex, aInstance) &&
+      aInstance->mState != state::InstanceState::Dead) {
+    aTargets.insert(aInstance->mId);
+  }
+}
+
+/// Lists the instances that may know a flow: earlier owners of its first shard,
+/// instances of that data centre that are leaving, the next in rendezvous
+/// order, and the owners of the flow's next shards.
+std::set<state::InstanceId>
+LookupTargets(const TrafficState& aState, const std::vector<RouteStep>& aRoute)
+{
+  std::set<state::InstanceId> targets;
+  const auto& shard = *aRoute.front().mShard;
+  for (std::size_t rank = 1; rank < kShardsPerFlow; ++rank) {
+    AddTarget(
+      aState, targets, InstanceAtRank(aState.mIndex, shard.mHash, rank));
+  }
+  for (const auto& instance : aState.mIndex.mSnapshot->mInstances) {
+    if (instance.mState == state::InstanceState::Leaving &&
+        instance.mDataCentre == shard.mId.mDataCentre) {
+      AddTarget(aState, targets, &instance);
+    }
+  }
+  if (const auto owned = aState.mShards.find(shard.mHash);
+      owned != aState.mShards.end()) {
+    const auto& instances = aState.mIndex.mSnapshot->mInstances;
+    for (const auto& previous : owned->second.mPrevious) {
+      if (const auto found = aState.mIndex.mInstances.find(previous.mValue);
+          found != aState.mIndex.mInstances.end()) {
+        AddTarget(aState, targets, &instances[found->second]);
+      }
+    }
+  }
+  for (std::size_t step = 1; step < aRoute.size(); ++step) {
+    AddTarget(aState, targets, aRoute[step].mOwner);
+  }
+  return targets;
+}
+
+void
+SendLookups(TrafficState& aState,
+            std::uint32_t aService,
+            const state::FlowKey& aKey)
+{
+  const auto route = RouteOfFlow(aState.mIndex, aService, state::Hash(aKey));
+  if (route.empty()) {
+    return;
+  }
+  for (const auto& target : LookupTargets(aState, route)) {
+    Act(aState, SendPeer{ target, FlowLookup{ aKey } });
+  }
+}
+
+void
+StartRecovery(TrafficState& aState,
+              state::TimePoint aNow,
+              const PacketEvent& aPacket,
+              std::uint32_t aService)
+{
+  const auto& event = aPacket.mFlow;
+  Recovery recovery;
+  recovery.mStarted = aNow;
+  recovery.mNextProbe = aNow + kLookupTimeout;
+  recovery.mService = aService;
+  recovery.mToken = aState.mNextToken++;
+  recovery.mSequence = event.mSequence;
+  recovery.mAcknowledged = event.mAcknowledged;
+  recovery.mCandidates = CandidatesOfFlow(aState.mIndex, aService, event.mKey);
+  SendLookups(aState, aService, event.mKey);
+  aState.mRecoveries[event.mKey] = recovery;
+  state::Increment(aState.mCounters, "flow_lookups_total");
+  Act(aState, Hold{ recovery.mToken });
+}
+
+/// Takes over a flow whose record this instance holds as backup.
+/// @return false if it holds none
+bool
+RecoverFromBackup(TrafficState& aState,
+                  state::TimePoint aNow,
+                  const state::FlowKey& aKey,
+                  std::uint32_t aService)
+{
+  const auto backup = aState.mBackups.find(aKey);
+  if (backup == aState.mBackups.end()) {
+    return false;
+  }
+  const auto record = backup->second;
+  const auto shard =
+    ShardOfUpstream(aState.mIndex, aService, record.mUpstream.mAddress);
+  if (!shard || !IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard)) ||
+      !MaySend(aState.mIndex, aService, record.mUpstream)) {
+    return false;
+  }
+  aState.mBackups.erase(backup);
+  AdoptFlow(aState, aNow, record, aService, *shard);
+  state::Increment(aState.mCounters, "flows_recovered_from_backup_total");
+  return true;
+}
+
+void
+ProbeCandidates(TrafficState& aState,
+                state::TimePoint aNow,
+                const state::FlowKey& aKey,
+                Recovery& aRecovery)
+{
+  SendLookups(aState, aRecovery.mService, aKey);
+  for (const auto& candidate : aRecovery.mCandidates) {
+    if (MaySend(aState.mIndex, aRecovery.mService, candidate)) {
+      Act(
+        aState,
+        ProbeUpstream{
+          aKey, candidate, aRecovery.mSequence - 1, aRecovery.mAcknowledged });
+    }
+  }
+  // The instance that gets the answer may have reported the flow already to
+  // an earlier owner.
+  std::set<std::uint64_t> shards;
+  for (const auto& candidate : aRecovery.mCandidates) {
+    if (const auto shard = ShardOfUpstream(
+          aState.mIndex, aRecovery.mService, candidate.mAddress)) {
+      shards.insert(*shard);
+    }
+  }
+  for (const auto shard : shards) {
+    aState.mReportRequests.insert(shard);
+  }
+  aRecovery.mNextProbe = aNow + kProbeInterval;
+}
+
+} // namespace
+
+void
+RecoverFlow(TrafficState& aState,
+            state::TimePoint aNow,
+            const PacketEvent& aPacket,
+            std::uint32_t aService)
+{
+  const auto& event = aPacket.mFlow;
+  if (RecoverFromBackup(aState, aNow, event.mKey, aService)) {
+    Act(aState, SendToUpstream{ aState.mFlows.at(event.mKey).mUpstream });
+    return;
+  }
+  if (event.mKind == state::SegmentKind::Reset) {
+    DropPacket(aState, "packets_dropped_unknown_flow_total");
+    return;
+  }
+  if (const auto found = aState.mRecoveries.find(event.mKey);
+      found != aState.mRecoveries.end()) {
+    found->second.mSequence = event.mSequence;
+    found->second.mAcknowledged = event.mAcknowledged;
+    DropPacket(aState, "packets_dropped_in_lookup_total");
+    return;
+  }
+  if (aState.mRecoveries.size() >= kMostRecoveries) {
+    DropPacket(aState, "packets_dropped_lookup_limit_total");
+    return;
+  }
+  StartRecovery(aState, aNow, aPacket, aService);
+}
+
+void
+ResolveRecovery(TrafficState& aState,
+                const state::FlowKey& aKey,
+                const state::Endpoint& aUpstream,
+                bool aHere)
+{
+  const auto found = aState.mRecoveries.find(aKey);
+  if (found == aState.mRecoveries.end()) {
+    return;
+  }
+  if (aHere && MaySend(aState.mIndex, found->second.mService, aUpstream)) {
+    Act(aState, ReleaseHeld{ found->second.mToken, aUpstream, false });
+  } else {
+    Act(aState, DropHeld{ found->second.mToken });
+  }
+  aState.mRecoveries.erase(found);
+  state::Increment(aState.mCounters, "flow_lookups_resolved_total");
+}
+
+FlowEntry&
+LearnPlacement(TrafficState& aState,
+               state::TimePoint aNow,
+               const state::FlowKey& aKey,
+               const state::Endpoint& aUpstream,
+               std::uint32_t aService,
+               std::uint64_t aShard)
+{
+  const auto* const listener = ListenerOfFlow(aState.mIndex, aService, aKey);
+  FlowRecord record{ aKey, aUpstream, listener->mFlowClass, true, true, false };
+  if (const auto backup = aState.mBackups.find(aKey);
+      backup != aState.mBackups.end() &&
+      backup->second.mUpstream == aUpstream) {
+    record = backup->second;
+    aState.mBackups.erase(backup);
+  }
+  AdoptFlow(aState, aNow, record, aService, aShard);
+  ResolveRecovery(aState, aKey, aUpstream, true);
+  const auto route = RouteOfFlow(aState.mIndex, aService, state::Hash(aKey));
+  if (!route.empty() && !IsSelf(aState.mIndex, route.front().mOwner)) {
+    Act(aState,
+        SendPeer{ route.front().mOwner->mId, FlowCopies{ { record } } });
+  }
+  return aState.mFlows.at(aKey);
+}
+
+void
+RuleOutCandidate(TrafficState& aState,
+                 const state::FlowKey& aKey,
+                 const state::Endpoint& aUpstream)
+{
+  if (const auto found = aState.mRecoveries.find(aKey);
+      found != aState.mRecoveries.end()) {
+    std::erase(found->second.mCandidates, aUpstream);
+  }
+}
+
+void
+CheckRecoveries(TrafficState& aState, state::TimePoint aNow)
+{
+  for (auto next = aState.mRecoveries.begin();
+       next != aState.mRecoveries.end();) {
+    auto& [key, recovery] = *next;
+    if (aNow - recovery.mStarted >= kRecoveryTimeout) {
+      state::Increment(aState.mCounters, "flows_broken_lookup_failed_total");
+      Act(aState, DropHeld{ recovery.mToken });
+      Act(aState,
+          ResetCaller{ key,
+                       state::Verdict::MayHaveRun,
+                       recovery.mAcknowledged,
+                       recovery.mSequence });
+      next = aState.mRecoveries.erase(next);
+      continue;
+    }
+    if (aNow >= recovery.mNextProbe) {
+      ProbeCandidates(aState, aNow, key, recovery);
+    }
+    ++next;
+  }
+}
+
+} // namespace sassafrasknot::coordination
--- /dev/null
+++ b/src/sassafrasknot/coordination/recovery.hpp
@@ -0,0 +1,46 @@
+#ifndef SASSAFRASKNOT_SRC_COORDINATION_RECOVERY_HPP
+#define SASSAFRASKNOT_SRC_COORDINATION_RECOVERY_HPP
+
+#include "sassafrasknot/coordination/traffic_state.hpp"
+
+namespace sassafrasknot::coordination {
+
+/// Looks up the upstream of an established flow that this instance should know
+/// but does not. The packet at hand is held if it is the first one.
+void
+RecoverFlow(TrafficState& aState,
+            state::TimePoint aNow,
+            const PacketEvent& aPacket,
+            std::uint32_t aService);
+
+/// Adopts a flow whose upstream is in a shard of this instance, ends its
+/// look-up and tells the owner of the flow's first shard.
+FlowEntry&
+LearnPlacement(TrafficState& aState,
+               state::TimePoint aNow,
+               const state::FlowKey& aKey,
+               const state::Endpoint& aUpstream,
+               std::uint32_t aService,
+               std::uint64_t aShard);
+
+/// Ends a flow's look-up: sends its held packet to the upstream, or drops it
+/// when another instance accounts the flow.
+void
+ResolveRecovery(TrafficState& aState,
+                const state::FlowKey& aKey,
+                const state::Endpoint& aUpstream,
+                bool aHere);
+
+/// Notes that an upstream does not know a flow that is being looked up.
+void
+RuleOutCandidate(TrafficState& aState,
+                 const state::FlowKey& aKey,
+                 const state::Endpoint& aUpstream);
+
+/// Probes the candidates of look-ups and ends those that took too long.
+void
+CheckRecoveries(TrafficState& aState, state::TimePoint aNow);
+
+} // namespace sassafrasknot::coordination
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/coordination/snapshot_change.cpp
@@ -0,0 +1,124 @@
+#include "sassafrasknot/coordination/snapshot_change.hpp"
+
+#include "sassafrasknot/coordination/flow_lifecycle.hpp"
+#include "sassafrasknot/coordination/handover.hpp"
+#include "sassafrasknot/coordination/recovery.hpp"
+
+namespace sassafrasknot::coordination {
+namespace {
+
+bool
+SameInstance(const state::InstanceView* aFirst,
+             const state::InstanceView* aSecond)
+{
+  if (aFirst == nullptr || aSecond == nullptr) {
+    return aFirst == aSecond;
+  }
+  return aFirst->mId == aSecond->mId;
+}
+
+/// Adopts the flows of the shards that this instance now owns from the copies
+/// of the owner before, and drops copies that it holds for nobody any more.
+void
+AdoptBackups(TrafficState& aState, state::TimePoint aNow)
+{
+  for (auto next = aState.mBackups.begin(); next != aState.mBackups.end();) {
+    const auto record = next->second;
+    const auto service = ServiceOfFlow(aState.mIndex, record.mKey);
+    const auto shard =
+      service
+        ? ShardOfUpstream(aState.mIndex, *service, record.mUpstream.mAddress)
+        : std::nullopt;
+    if (!shard || !IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard))) {
+      next = shard ? std::next(next) : aState.mBackups.erase(next);
+      continue;
+    }
+    next = aState.mBackups.erase(next);
+    const auto known = aState.mFlows.find(record.mKey);
+    if (known == aState.mFlows.end() ||
+        known->second.mStage == FlowStage::Elsewhere) {
+      AdoptFlow(aState, aNow, record, *service, *shard);
+      ResolveRecovery(aState, record.mKey, record.mUpstream, true);
+      state::Increment(aState.mCounters, "flows_recovered_from_backup_total");
+    }
+  }
+}
+
+/// Copies the flows of a shard to its new backup.
+void
+CopyAgain(TrafficState& aState, state::TimePoint aNow, std::uint64_t aShard)
+{
+  for (auto& [key, entry] : aState.mFlows) {
+    if (entry.mShard == aShard && entry.mStage == FlowStage::Established &&
+        (entry.mException || entry.mFlowClass != state::FlowClass::Feed)) {
+      entry.mCopied = false;
+      QueueCopy(aState.mCopies, key, aShard, entry.mFlowClass, aNow);
+    }
+  }
+}
+
+void
+UpdateAccounts(TrafficState& aState, state::TimePoint aNow)
+{
+  for (auto& [hash, owned] : aState.mShards) {
+    const auto place = aState.mIndex.mShards.find(hash);
+    if (place == aState.mIndex.mShards.end()) {
+      continue;
+    }
+    owned.mService = place->second.mService;
+    const auto& service =
+      aState.mIndex.mSnapshot->mServices[owned.mService].mService;
+    UpdateShard(*owned.mShard, *place->second.mTable, service.mLimits, aNow);
+  }
+  std::erase_if(aState.mShards, [&](const auto& aShard) {
+    return aShard.second.mFlows == 0 &&
+           !IsSelf(aState.mIndex, OwnerOf(aState.mIndex, aShard.first));
+  });
+}
+
+/// @return true if this instance has become the owner of a shard
+bool
+CompareOwners(TrafficState& aState,
+              state::TimePoint aNow,
+              const SnapshotIndex& aBefore)
+{
+  bool gained = false;
+  for (const auto& [hash, place] : aState.mIndex.mShards) {
+    const auto* const owner = OwnerOf(aState.mIndex, hash);
+    if (!IsSelf(aState.mIndex, owner)) {
+      continue;
+    }
+    const auto* const before = OwnerOf(aBefore, hash);
+    if (!SameInstance(owner, before)) {
+      gained = true;
+      auto& account = AccountOf(aState, hash, aNow);
+      if (before != nullptr) {
+        account.mPrevious.insert(before->mId);
+      }
+      aState.mReportRequests.insert(hash);
+    }
+    if (!SameInstance(InstanceAtRank(aState.mIndex, hash, 1),
+                      InstanceAtRank(aBefore, hash, 1))) {
+      CopyAgain(aState, aNow, hash);
+    }
+  }
+  return gained;
+}
+
+} // namespace
+
+void
+ChangeSnapshot(TrafficState& aState,
+               state::TimePoint aNow,
+               std::shared_ptr<const state::Snapshot> aSnapshot)
+{
+  const auto before =
+    std::exchange(aState.mIndex, MakeSnapshotIndex(std::move(aSnapshot)));
+  UpdateAccounts(aState, aNow);
+  if (CompareOwners(aState, aNow, before)) {
+    AdoptBackups(aState, aNow);
+  }
+  UpdateHandovers(aState, aNow);
+}
+
+} // namespace sassafrasknot::coordination
--- /dev/null
+++ b/src/sassafrasknot/coordination/traffic_core.cpp
@@ -0,0 +1,233 @@
+#include "sassafrasknot/coordination/traffic_core.hpp"
+
+#include "sassafrasknot/coordination/answer_packets.hpp"
+#include "sassafrasknot/coordination/caller_packets.hpp"
+#include "sassafrasknot/coordination/flow_checks.hpp"
+#include "sassafrasknot/coordination/flow_lifecycle.hpp"
+#include "sassafrasknot/coordination/handover.hpp"
+#include "sassafrasknot/coordination/peer_messages.hpp"
+#include "sassafrasknot/coordination/recovery.hpp"
+#include "sassafrasknot/coordination/snapshot_change.hpp"
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// Time after which membership takes a silent instance for dead; a thread that
+/// was not called for longer may hold old facts.
+constexpr auto kStallTimeout = std::chrono::milliseconds{ 2700 };
+/// The control thread notices the same stall within this time and withdraws
+/// its trust by a snapshot.
+constexpr auto kStallGrace = std::chrono::milliseconds{ 300 };
+/// Copies and reports are gathered for this long, to share the headers of a
+/// message.
+constexpr auto kFlushInterval = std::chrono::milliseconds{ 100 };
+
+/// Forgets all queued flows: their callers may have given up during a stall.
+void
+ForgetAllQueued(TrafficState& aState, state::TimePoint aNow)
+{
+  const auto queued = aState.mQueued;
+  for (const auto& [token, key] : queued) {
+    ForgetFlow(aState, aNow, key);
+  }
+}
+
+void
+NoteCall(TrafficState& aState, state::TimePoint aNow)
+{
+  if (aState.mLastCall != state::TimePoint{} &&
+      aNow - aState.mLastCall > kStallTimeout) {
+    state::Increment(aState.mCounters, "stalls_total");
+    aState.mDistrustedUntil = aNow + kStallGrace;
+    ForgetAllQueued(aState, aNow);
+  }
+  aState.mLastCall = aNow;
+}
+
+/// Serves the queues of the shards in which something was freed.
+void
+ServeFreed(TrafficState& aState, state::TimePoint aNow)
+{
+  while (!aState.mFreed.empty() && MayPlace(aState, aNow)) {
+    const auto freed = std::exchange(aState.mFreed, {});
+    for (const auto hash : freed) {
+      if (const auto found = aState.mShards.find(hash);
+          found != aState.mShards.end()) {
+        for (const auto& decision : ServeQueue(*found->second.mShard, aNow)) {
+          ApplyQueueDecision(aState, aNow, decision);
+        }
+      }
+    }
+  }
+}
+
+TrafficActions
+Finish(TrafficState& aState, state::TimePoint aNow)
+{
+  ServeFreed(aState, aNow);
+  return std::exchange(aState.mActions, {});
+}
+
+OwnedShardStatus
+StatusOfShard(const TrafficState& aState,
+              std::uint64_t aHash,
+              const OwnedShard& aShard,
+              state::TimePoint aNow)
+{
+  OwnedShardStatus status;
+  if (const auto found = aState.mIndex.mShards.find(aHash);
+      found != aState.mIndex.mShards.end()) {
+    status.mId = found->second.mTable->mId;
+  }
+  if (const auto* const backup = InstanceAtRank(aState.mIndex, aHash, 1)) {
+    status.mBackup = backup->mId;
+  }
+  status.mFlows = aShard.mFlows;
+  status.mShard = StatusOf(*aShard.mShard, aNow);
+  return status;
+}
+
+} // namespace
+
+OwnedShard&
+AccountOf(TrafficState& aState, std::uint64_t aShard, state::TimePoint aNow)
+{
+  const auto [found, isNew] = aState.mShards.try_emplace(aShard);
+  auto& owned = found->second;
+  if (isNew) {
+    const auto place = aState.mIndex.mShards.find(aShard);
+    const state::ShardTable empty;
+    const bool known = place != aState.mIndex.mShards.end();
+    owned.mService = known ? place->second.mService : 0;
+    const auto limits =
+      known
+        ? aState.mIndex.mSnapshot->mServices[owned.mService].mService.mLimits
+        : state::ServiceLimits{};
+    owned.mShard =
+      MakeShard(known ? *place->second.mTable : empty, limits, aNow);
+  }
+  return owned;
+}
+
+void
+CheckAt(TrafficState& aState,
+        const state::FlowKey& aKey,
+        FlowEntry& aEntry,
+        state::TimePoint aAt)
+{
+  aEntry.mCheckAt = aAt;
+  aState.mDeadlines.push({ aAt, aKey });
+}
+
+bool
+MayPlace(const TrafficState& aState, state::TimePoint aNow)
+{
+  return aState.mIndex.mSnapshot->mTrusted && aNow >= aState.mDistrustedUntil;
+}
+
+struct TrafficCore::Impl
+{
+  TrafficState mState;
+};
+
+TrafficCore::TrafficCore(std::shared_ptr<const state::Snapshot> aSnapshot,
+                         std::uint64_t aSeed)
+  : mImpl(std::make_unique<Impl>())
+{
+  auto& state = mImpl->mState;
+  state.mIndex = MakeSnapshotIndex(std::move(aSnapshot));
+  state.mCopies = MakeCopyQueue({});
+  state.mReporter = MakeAnswerReporter({});
+  // Batches of an earlier process of this instance must not be taken for
+  // those of this one.
+  state.mNextBatch = aSeed | 1;
+}
+
+TrafficCore::~TrafficCore() = default;
+TrafficCore::TrafficCore(TrafficCore&&) noexcept = default;
+TrafficCore&
+TrafficCore::operator=(TrafficCore&&) noexcept = default;
+
+TrafficActions
+TrafficCore::OnPacket(state::TimePoint aNow, const PacketEvent& aPacket)
+{
+  auto& state = mImpl->mState;
+  NoteCall(state, aNow);
+  if (aNow < state.mDistrustedUntil) {
+    DropPacket(state, "packets_dropped_stalled_total");
+  } else if (aPacket.mFlow.mDirection == state::Direction::FromCaller) {
+    OnCallerPacket(state, aNow, aPacket);
+  } else {
+    OnAnswerPacket(state, aNow, aPacket);
+  }
+  return Finish(state, aNow);
+}
+
+TrafficActions
+TrafficCore::OnPeerMessage(state::TimePoint aNow,
+                           const state::InstanceId& aFrom,
+                           const TrafficMessage& aMessage)
+{
+  auto& state = mImpl->mState;
+  NoteCall(state, aNow);
+  OnTrafficMessage(state, aNow, aFrom, aMessage);
+  return Finish(state, aNow);
+}
+
+TrafficActions
+TrafficCore::OnSnapshot(state::TimePoint aNow,
+                        std::shared_ptr<const state::Snapshot> aSnapshot)
+{
+  auto& state = mImpl->mState;
+  NoteCall(state, aNow);
+  ChangeSnapshot(state, aNow, std::move(aSnapshot));
+  return Finish(state, aNow);
+}
+
+TrafficActions
+TrafficCore::OnTick(state::TimePoint aNow)
+{
+  auto& state = mImpl->mState;
+  NoteCall(state, aNow);
+  CheckFlows(state, aNow);
+  CheckRecoveries(state, aNow);
+  ContinueHandovers(state, aNow);
+  if (aNow >= state.mNextFlush) {
+    state.mNextFlush = aNow + kFlushInterval;
+    FlushPeerMessages(state, aNow);
+  }
+  for (const auto& [hash, owned] : state.mShards) {
+    state.mFreed.insert(hash);
+  }
+  return Finish(state, aNow);
+}
+
+bool
+TrafficCore::HandedOver() const
+{
+  return HandoversDone(mImpl->mState);
+}
+
+const state::Counters&
+TrafficCore::Counters() const
+{
+  return mImpl->mState.mCounters;
+}
+
+TrafficStatus
+TrafficCore::Status(state::TimePoint aNow) const
+{
+  const auto& state = mImpl->mState;
+  TrafficStatus status;
+  for (const auto& [hash, owned] : state.mShards) {
+    status.mOwned.push_back(StatusOfShard(state, hash, owned, aNow));
+  }
+  status.mFlows = state.mFlows.size();
+  status.mBackupRecords = state.mBackups.size();
+  status.mRecovering = state.mRecoveries.size();
+  status.mCopiesPending =
+    state.mCopies.mWork.size() + state.mCopies.mFeeds.size();
+  return status;
+}
+
+} // namespace sassafrasknot::coordination
