Recover flows without guessing and adopt no ended flows

Cause: traces of broken flows showed four faults. A placer reset an opening that another owner had already learned; a look-up was sent once and its answer could come from an owner that did not know the flow yet; an instance that was no longer the first owner went on with its look-up and reset the caller; reports delayed by their budget adopted flows that had ended, and those held slots. The fakes check acknowledgements and resets as RFC 9293 and RFC 5961 say, and a caller is on one side of a partition.

--- a/src/sassafrasknot/coordination/answer_packets.cpp
+++ b/src/sassafrasknot/coordination/answer_packets.cpp
@@ -85,6 +85,12 @@
     DropPacket(aState, "packets_dropped_unverified_reset_total");
     return;
   }
+  if (aEvent.mKind == state::SegmentKind::Finish &&
+      !MayLearn(aState, aNow, aEvent.mKey, aShard)) {
+    // A repeated segment of a flow that has ended.
+    Act(aState, SendToCaller{ aEvent.mKey.mService });
+    return;
+  }
   auto& entry = LearnPlacement(
     aState, aNow, aEvent.mKey, aEvent.mUpstream, aService, aShard);
   OnControlAnswer(aState, aNow, aEvent, entry);
@@ -161,7 +167,7 @@
     NoteAnswer(aState, aNow, report);
     return;
   }
-  ReportAnswer(aState.mReporter, *shard, report, aState.mCounters);
+  ReportAnswer(aState.mReporter, *shard, report, aNow, aState.mCounters);
 }
 
 void
@@ -182,7 +188,8 @@
   auto found = aState.mFlows.find(aReport.mKey);
   if (found == aState.mFlows.end() ||
       found->second.mStage == FlowStage::Elsewhere) {
-    if (IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard))) {
+    if (IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard)) &&
+        MayLearn(aState, aNow, aReport.mKey, *shard)) {
       LearnPlacement(
         aState, aNow, aReport.mKey, aReport.mUpstream, *service, *shard);
     }
@@ -194,6 +201,7 @@
     return;
   }
   entry.mLastUpstream = aNow;
+  entry.mUnansweredProbes = 0;
   entry.mAnswered |= aReport.mPayload;
   AccountOf(aState, entry.mShard, aNow).mProgress[entry.mUpstream.mAddress] =
     aNow;
--- a/src/sassafrasknot/coordination/answer_reports.cpp
+++ b/src/sassafrasknot/coordination/answer_reports.cpp
@@ -21,6 +21,8 @@
 /// reported.
 constexpr auto kShortestPeriod = std::chrono::seconds{ 20 };
 constexpr std::size_t kMostPending = 8192;
+/// The flow of an older report may have ended, and must not be adopted by it.
+constexpr auto kLongestWait = std::chrono::seconds{ 2 };
 /// Fits into one datagram of 1,400 bytes.
 constexpr std::size_t kMostPerMessage = 48;
 
@@ -62,6 +64,7 @@
 ReportAnswer(AnswerReporter& aReporter,
              std::uint64_t aShard,
              const AnswerReport& aReport,
+             state::TimePoint aNow,
              state::Counters& aCounters)
 {
   const auto salted =
@@ -77,7 +80,7 @@
   }
   aReporter.mCurrent[bit] = true;
   ++aReporter.mReportedInPeriod;
-  aReporter.mPending.emplace_back(aShard, aReport);
+  aReporter.mPending.push_back({ aShard, aReport, bit, aNow });
 }
 
 void
@@ -87,15 +90,24 @@
 }
 
 std::unordered_map<std::uint64_t, AnswerReports>
-TakeReports(AnswerReporter& aReporter, state::TimePoint aNow)
+TakeReports(AnswerReporter& aReporter,
+            state::TimePoint aNow,
+            state::Counters& aCounters)
 {
   if (aNow - aReporter.mPeriodStarted >= aReporter.mPeriod) {
     StartPeriod(aReporter, aNow);
   }
   std::unordered_map<std::uint64_t, AnswerReports> taken;
   while (!aReporter.mPending.empty()) {
-    const auto& [shard, report] = aReporter.mPending.front();
-    const auto found = taken.find(shard);
+    const auto& next = aReporter.mPending.front();
+    if (aNow - next.mQueued > kLongestWait) {
+      // A later answer of the flow is reported in its place.
+      aReporter.mCurrent[next.mBit] = false;
+      state::Increment(aCounters, "answer_reports_dropped_total");
+      aReporter.mPending.pop_front();
+      continue;
+    }
+    const auto found = taken.find(next.mShard);
     if (found != taken.end() &&
         found->second.mReports.size() >= kMostPerMessage) {
       break;
@@ -105,7 +117,7 @@
     if (!TakeTokens(aReporter.mBudget, cost, aNow)) {
       break;
     }
-    taken[shard].mReports.push_back(report);
+    taken[next.mShard].mReports.push_back(next.mReport);
     aReporter.mPending.pop_front();
   }
   return taken;
--- a/src/sassafrasknot/coordination/answer_reports.hpp
+++ b/src/sassafrasknot/coordination/answer_reports.hpp
@@ -14,6 +14,15 @@
 
 namespace sassafrasknot::coordination {
 
+struct PendingReport
+{
+  std::uint64_t mShard = 0;
+  AnswerReport mReport;
+  /// Its bit in AnswerReporter::mCurrent.
+  std::size_t mBit = 0;
+  state::TimePoint mQueued;
+};
+
 /// Reports of the answers that this instance has rewritten, for the owners of
 /// their flows: at most one per flow and period, within the control budget.
 struct AnswerReporter
@@ -22,7 +31,7 @@
   std::vector<bool> mCurrent;
   /// Changes per shard so that its flows are reported again.
   std::unordered_map<std::uint64_t, std::uint64_t> mSalts;
-  std::deque<std::pair<std::uint64_t, AnswerReport>> mPending;
+  std::deque<PendingReport> mPending;
   TokenBucket mBudget;
   state::TimePoint mPeriodStarted;
   state::Duration mPeriod{};
@@ -37,17 +46,21 @@
 ReportAnswer(AnswerReporter& aReporter,
              std::uint64_t aShard,
              const AnswerReport& aReport,
+             state::TimePoint aNow,
              state::Counters& aCounters);
 
 /// Makes the flows of a shard be reported again.
 void
 ReportShardAgain(AnswerReporter& aReporter, std::uint64_t aShard);
 
-/// Takes the reports that the budget allows now, by shard. Starts a new period
+/// Takes the reports that the budget allows now, by shard, and drops those that
+/// have become too old to adopt a flow by them. Starts a new period
 /// when it is time; a period in which many flows were reported makes the next
 /// one longer.
 std::unordered_map<std::uint64_t, AnswerReports>
-TakeReports(AnswerReporter& aReporter, state::TimePoint aNow);
+TakeReports(AnswerReporter& aReporter,
+            state::TimePoint aNow,
+            state::Counters& aCounters);
 
 } // namespace sassafrasknot::coordination
 
--- a/src/sassafrasknot/coordination/caller_packets.cpp
+++ b/src/sassafrasknot/coordination/caller_packets.cpp
@@ -41,6 +41,7 @@
     aEntry.mAnswered = true;
     aEntry.mUnansweredBytes = 0;
     aEntry.mLastUpstream = aNow;
+    aEntry.mUnansweredProbes = 0;
     AccountOf(aState, aEntry.mShard, aNow)
       .mProgress[aEntry.mUpstream.mAddress] = aNow;
   }
--- a/src/sassafrasknot/coordination/flow_checks.cpp
+++ b/src/sassafrasknot/coordination/flow_checks.cpp
@@ -10,6 +10,8 @@
 /// Keepalive intervals without a sign of life after which an end is gone:
 /// three unanswered probes and a margin for the report of the last answer.
 constexpr double kSilentIntervals = 3.5;
+/// Unanswered probes after the peers were asked to report all answers.
+constexpr int kSilentProbes = 4;
 /// Work without traffic for this long after its answer holds no slot.
 constexpr auto kWorkIdle = std::chrono::seconds{ 5 };
 constexpr auto kHalfClosedTimeout = std::chrono::seconds{ 60 };
@@ -79,9 +81,10 @@
     std::chrono::duration_cast<state::Duration>(aInterval * kSilentIntervals);
   const bool stalled = aEntry.mStalledSince != state::TimePoint{} &&
                        aNow - aEntry.mStalledSince >= kSilenceTimeout;
-  const auto oldest = std::min(aEntry.mLastCaller, aEntry.mLastUpstream);
-  const bool gone = aNow - oldest >= patience;
-  if ((!stalled && !gone) ||
+  const bool callerGone = aNow - aEntry.mLastCaller >= patience;
+  const bool upstreamGone = aNow - aEntry.mLastUpstream >= patience &&
+                            aEntry.mUnansweredProbes >= kSilentProbes;
+  if ((!stalled && !callerGone && !upstreamGone) ||
       !OthersProgress(aState,
                       aNow,
                       aEntry,
@@ -92,11 +95,26 @@
   return true;
 }
 
+/// Asks all instances to report the answers of a shard again, so that the next
+/// answers to probes are not held back as reported before.
+void
+RequestReports(TrafficState& aState,
+               state::TimePoint aNow,
+               const FlowEntry& aEntry,
+               state::Duration aInterval)
+{
+  auto& account = AccountOf(aState, aEntry.mShard, aNow);
+  if (aNow >= account.mNextReportRequest) {
+    account.mNextReportRequest = aNow + aInterval;
+    aState.mReportRequests.insert(aEntry.mShard);
+  }
+}
+
 void
 ProbeIdleEnds(TrafficState& aState,
               state::TimePoint aNow,
               const state::FlowKey& aKey,
-              const FlowEntry& aEntry,
+              FlowEntry& aEntry,
               state::Duration aInterval)
 {
   if (aKey.mProtocol != state::TransportProtocol::Tcp) {
@@ -106,12 +124,17 @@
     Act(aState,
         ProbeCaller{ aKey, aEntry.mAcknowledged - 1, aEntry.mNextSequence });
   }
-  if (aNow - aEntry.mLastUpstream >= aInterval) {
-    Act(aState,
-        ProbeUpstream{ aKey,
-                       aEntry.mUpstream,
-                       aEntry.mNextSequence - 1,
-                       aEntry.mAcknowledged });
+  if (aNow - aEntry.mLastUpstream < aInterval) {
+    return;
+  }
+  Act(
+    aState,
+    ProbeUpstream{
+      aKey, aEntry.mUpstream, aEntry.mNextSequence - 1, aEntry.mAcknowledged });
+  if (aNow - aEntry.mLastUpstream >= 2 * aInterval) {
+    RequestReports(aState, aNow, aEntry, aInterval);
+    aEntry.mUnansweredProbes = static_cast<std::uint8_t>(
+      std::min<int>(aEntry.mUnansweredProbes + 1, kSilentProbes));
   }
 }
 
@@ -160,6 +183,7 @@
   NoteException(aState, aNow, aKey, aEntry);
   ProbeIdleEnds(aState, aNow, aKey, aEntry, interval);
   const bool often = aEntry.mFlowClass != state::FlowClass::Feed ||
+                     aEntry.mUnansweredProbes > 0 ||
                      aEntry.mStalledSince != state::TimePoint{};
   CheckAt(aState,
           aKey,
--- a/src/sassafrasknot/coordination/flow_entry.hpp
+++ b/src/sassafrasknot/coordination/flow_entry.hpp
@@ -41,6 +41,8 @@
   std::uint32_t mUnansweredBytes = 0;
   FlowStage mStage = FlowStage::Opening;
   state::FlowClass mFlowClass = state::FlowClass::Feed;
+  /// Probes of the upstream since its last sign of life.
+  std::uint8_t mUnansweredProbes = 0;
   bool mAccounted = false;
   bool mPayloadForwarded = false;
   bool mAnswered = false;
--- a/src/sassafrasknot/coordination/flow_route.cpp
+++ b/src/sassafrasknot/coordination/flow_route.cpp
@@ -66,6 +66,15 @@
   return nullptr;
 }
 
+bool
+IsFirstOwner(const SnapshotIndex& aIndex,
+             std::uint32_t aService,
+             const state::FlowKey& aKey)
+{
+  const auto route = RouteOfFlow(aIndex, aService, state::Hash(aKey));
+  return !route.empty() && IsSelf(aIndex, route.front().mOwner);
+}
+
 std::vector<state::Endpoint>
 CandidatesOfFlow(const SnapshotIndex& aIndex,
                  std::uint32_t aService,
--- a/src/sassafrasknot/coordination/flow_route.hpp
+++ b/src/sassafrasknot/coordination/flow_route.hpp
@@ -38,6 +38,12 @@
          const std::vector<state::InstanceId>& aHops,
          std::size_t aFrom = 0);
 
+/// Whether this instance owns the first shard of a flow that can be reached.
+bool
+IsFirstOwner(const SnapshotIndex& aIndex,
+             std::uint32_t aService,
+             const state::FlowKey& aKey);
+
 /// Returns the upstreams that the table history gives for a flow, newest first
 /// and without duplicates, as far as packets may be sent to them now.
 std::vector<state::Endpoint>
--- a/src/sassafrasknot/coordination/peer_messages.cpp
+++ b/src/sassafrasknot/coordination/peer_messages.cpp
@@ -28,15 +28,6 @@
   }
 }
 
-bool
-IsFirstOwner(const TrafficState& aState,
-             std::uint32_t aService,
-             const state::FlowKey& aKey)
-{
-  const auto route = RouteOfFlow(aState.mIndex, aService, state::Hash(aKey));
-  return !route.empty() && IsSelf(aState.mIndex, route.front().mOwner);
-}
-
 /// Takes a flow over whose shard belongs to this instance.
 void
 TakeOver(TrafficState& aState,
@@ -74,7 +65,7 @@
     return;
   }
   aState.mBackups[aRecord.mKey] = aRecord;
-  if (IsFirstOwner(aState, *service, aRecord.mKey) &&
+  if (IsFirstOwner(aState.mIndex, *service, aRecord.mKey) &&
       !aState.mFlows.contains(aRecord.mKey)) {
     NoteElsewhere(aState, aNow, aRecord.mKey, aRecord.mUpstream, *shard);
     ResolveRecovery(aState, aRecord.mKey, aRecord.mUpstream, false);
@@ -200,7 +191,8 @@
 void
 FlushReports(TrafficState& aState, state::TimePoint aNow)
 {
-  for (auto& [shard, message] : TakeReports(aState.mReporter, aNow)) {
+  for (auto& [shard, message] :
+       TakeReports(aState.mReporter, aNow, aState.mCounters)) {
     const auto* const owner = OwnerOf(aState.mIndex, shard);
     if (owner == nullptr) {
       continue;
--- a/src/sassafrasknot/coordination/recovery.cpp
+++ b/src/sassafrasknot/coordination/recovery.cpp
@@ -13,6 +13,10 @@
 constexpr auto kProbeInterval = std::chrono::milliseconds{ 500 };
 /// After this the caller is reset, so that it reconnects instead of hanging.
 constexpr auto kRecoveryTimeout = std::chrono::seconds{ 5 };
+/// The same while the data centre of the flow's first shard is cut off. A
+/// caller that hangs for longer is worse off than one that reconnects to this
+/// side.
+constexpr auto kCutOffTimeout = std::chrono::seconds{ 20 };
 /// Bounds the state that a flood of segments of unknown flows can take.
 constexpr std::size_t kMostRecoveries = 20000;
 
@@ -75,6 +79,20 @@
   }
 }
 
+/// Returns how long a look-up may take: longer while the data centre of the
+/// flow's first shard is cut off, since the flow may be there.
+state::Duration
+TimeoutOf(const TrafficState& aState,
+          const Recovery& aRecovery,
+          const state::FlowKey& aKey)
+{
+  const auto route =
+    RouteOfFlow(aState.mIndex, aRecovery.mService, state::Hash(aKey));
+  const bool cut = route.empty() || route.front().mRank > 0;
+  return cut ? state::Duration{ kCutOffTimeout }
+             : state::Duration{ kRecoveryTimeout };
+}
+
 void
 StartRecovery(TrafficState& aState,
               state::TimePoint aNow,
@@ -201,6 +219,16 @@
   state::Increment(aState.mCounters, "flow_lookups_resolved_total");
 }
 
+bool
+MayLearn(TrafficState& aState,
+         state::TimePoint aNow,
+         const state::FlowKey& aKey,
+         std::uint64_t aShard)
+{
+  return aState.mRecoveries.contains(aKey) ||
+         aNow < AccountOf(aState, aShard, aNow).mLearnUntil;
+}
+
 FlowEntry&
 LearnPlacement(TrafficState& aState,
                state::TimePoint aNow,
@@ -244,7 +272,14 @@
   for (auto next = aState.mRecoveries.begin();
        next != aState.mRecoveries.end();) {
     auto& [key, recovery] = *next;
-    if (aNow - recovery.mStarted >= kRecoveryTimeout) {
+    if (aNow >= recovery.mNextProbe &&
+        !IsFirstOwner(aState.mIndex, recovery.mService, key)) {
+      // Another instance owns the flow's first shard now and looks it up.
+      Act(aState, DropHeld{ recovery.mToken });
+      next = aState.mRecoveries.erase(next);
+      continue;
+    }
+    if (aNow - recovery.mStarted >= TimeoutOf(aState, recovery, key)) {
       state::Increment(aState.mCounters, "flows_broken_lookup_failed_total");
       Act(aState, DropHeld{ recovery.mToken });
       Act(aState,
--- a/src/sassafrasknot/coordination/recovery.hpp
+++ b/src/sassafrasknot/coordination/recovery.hpp
@@ -13,6 +13,15 @@
             const PacketEvent& aPacket,
             std::uint32_t aService);
 
+/// Whether an answer may make this instance adopt a flow that it does not know:
+/// the flow is being looked up, or the shard has changed its owner lately.
+/// At other times the answer is a late one of a flow that has ended.
+bool
+MayLearn(TrafficState& aState,
+         state::TimePoint aNow,
+         const state::FlowKey& aKey,
+         std::uint64_t aShard);
+
 /// Adopts a flow whose upstream is in a shard of this instance, ends its
 /// look-up and tells the owner of the flow's first shard.
 FlowEntry&
--- a/src/sassafrasknot/coordination/snapshot_change.cpp
+++ b/src/sassafrasknot/coordination/snapshot_change.cpp
@@ -92,6 +92,7 @@
     if (!SameInstance(owner, before)) {
       gained = true;
       auto& account = AccountOf(aState, hash, aNow);
+      account.mLearnUntil = aNow + kLearnTime;
       if (before != nullptr) {
         account.mPrevious.insert(before->mId);
       }
--- a/src/sassafrasknot/coordination/traffic_core.cpp
+++ b/src/sassafrasknot/coordination/traffic_core.cpp
@@ -99,6 +99,7 @@
     const state::ShardTable empty;
     const bool known = place != aState.mIndex.mShards.end();
     owned.mService = known ? place->second.mService : 0;
+    owned.mLearnUntil = aNow + kLearnTime;
     const auto limits =
       known
         ? aState.mIndex.mSnapshot->mServices[owned.mService].mService.mLimits
--- a/src/sassafrasknot/coordination/traffic_state.hpp
+++ b/src/sassafrasknot/coordination/traffic_state.hpp
@@ -55,6 +55,10 @@
   /// Instances that owned the shard before, asked for unknown flows.
   std::set<state::InstanceId> mPrevious;
   std::map<state::Ipv4Address, state::TimePoint> mProgress;
+  /// Until when answers may make unknown flows known.
+  state::TimePoint mLearnUntil;
+  /// When the peers may be asked for reports of idle flows again.
+  state::TimePoint mNextReportRequest;
   std::optional<Handover> mHandover;
 };
 
@@ -96,6 +100,9 @@
   state::TimePoint mNextReportRequest;
 };
 
+/// Two reporting periods and the time of membership to agree.
+constexpr auto kLearnTime = std::chrono::seconds{ 60 };
+
 /// Adds an action.
 template<typename Action>
 void
--- a/testing/randomised/caller.cpp
+++ b/testing/randomised/caller.cpp
@@ -28,6 +28,7 @@
 {
   Packet packet;
   packet.mCallerFlow = aFlow.mId;
+  packet.mOrigin = aFlow.mHome;
   packet.mFlow = { aFlow.mKey, Direction::FromCaller, aKind, {}, aPayload,
                    aSequence,  aFlow.mNextExpected };
   SendToFabric(aWorld, packet);
@@ -192,7 +193,13 @@
 void
 OnReset(World& aWorld, CallerFlow& aFlow, const Packet& aPacket)
 {
-  if (aPacket.mVerdict == Verdict::NotRun) {
+  // RFC 5961: a reset that does not carry the expected sequence is ignored.
+  if (aFlow.mStage != CallerStage::Opening &&
+      aPacket.mFlow.mSequence != aFlow.mNextExpected) {
+    return;
+  }
+  if (aFlow.mStage == CallerStage::Opening ||
+      aPacket.mVerdict == Verdict::NotRun) {
     aWorld.mToldNotRun.insert(aFlow.mId);
   }
   switch (aFlow.mStage) {
@@ -219,6 +226,7 @@
   CallerFlow flow;
   flow.mId = aWorld.mNextFlow++;
   flow.mOrganisation = organisation.mId;
+  flow.mHome = aWorld.mDataCentres[Pick(aWorld, aWorld.mDataCentres.size())];
   const double kind = Uniform(aWorld);
   flow.mKind = kind < 0.3   ? FlowKind::Feed
                : kind < 0.5 ? FlowKind::Upload
--- a/testing/randomised/fakes.hpp
+++ b/testing/randomised/fakes.hpp
@@ -14,6 +14,7 @@
 /// Fakes of callers and upstreams around real traffic cores, on virtual time.
 namespace randomised {
 
+using sassafrasknot::state::DataCentreId;
 using sassafrasknot::state::Duration;
 using sassafrasknot::state::Endpoint;
 using sassafrasknot::state::FlowEvent;
@@ -28,6 +29,8 @@
   FlowEvent mFlow;
   /// Flow of the caller that the packet belongs to, zero for none.
   std::uint64_t mCallerFlow = 0;
+  /// Data centre that the packet comes from.
+  DataCentreId mOrigin;
   /// What a reset made by an instance says of the flow.
   Verdict mVerdict = Verdict::MayHaveRun;
 };
@@ -55,6 +58,8 @@
   FlowKey mKey;
   FlowKind mKind = FlowKind::Feed;
   OrganisationId mOrganisation;
+  /// Data centre whose side of a partition the caller is on.
+  DataCentreId mHome;
   CallerStage mStage = CallerStage::Opening;
   std::uint32_t mRequestBytes = 0;
   /// Bytes of the request that were acknowledged.
@@ -82,6 +87,7 @@
   std::uint32_t mFirstSent = 0;
   std::uint32_t mSent = 0;
   std::uint32_t mAcknowledged = 0;
+  bool mEstablished = false;
   bool mExecuted = false;
   bool mFinished = false;
   TimePoint mAnswerAt;
@@ -95,6 +101,7 @@
 {
   Endpoint mEndpoint;
   OrganisationId mOrganisation;
+  DataCentreId mDataCentre;
   bool mAlive = true;
   bool mShedding = false;
   TimePoint mLeavingSince = TimePoint::max();
--- a/testing/randomised/main.cpp
+++ b/testing/randomised/main.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <iostream>
-#include <string>
+#include <string_view>
+#include <vector>
 
 #include "world.hpp"
 #include <popt.h>
@@ -15,29 +16,48 @@
 
 struct Fault
 {
+  std::string_view mName;
   void (*mRun)(World&);
   bool mPlanned;
 };
 
 constexpr Fault kFaults[] = {
-  { randomised::ReplaceInstance, true }, { randomised::DrainUpstream, true },
-  { randomised::AddUpstream, true },     { randomised::ReverseChange, true },
-  { randomised::KillInstance, false },   { randomised::PauseInstance, false },
-  { randomised::CutDataCentre, false },  { randomised::SilenceFlow, false },
-  { randomised::ShedUpstream, false },   { randomised::KillUpstream, false },
+  { "replace-instance", randomised::ReplaceInstance, true },
+  { "drain-upstream", randomised::DrainUpstream, true },
+  { "add-upstream", randomised::AddUpstream, true },
+  { "reverse-change", randomised::ReverseChange, true },
+  { "kill-instance", randomised::KillInstance, false },
+  { "pause-instance", randomised::PauseInstance, false },
+  { "cut-data-centre", randomised::CutDataCentre, false },
+  { "silence-flow", randomised::SilenceFlow, false },
+  { "shed-upstream", randomised::ShedUpstream, false },
+  { "kill-upstream", randomised::KillUpstream, false },
 };
 
+/// Faults that a run may inject: "all", "planned" or one by its name.
+std::vector<Fault>
+SelectFaults(std::string_view aName)
+{
+  std::vector<Fault> chosen;
+  for (const auto& fault : kFaults) {
+    if (aName == "all" || aName == fault.mName ||
+        (aName == "planned" && fault.mPlanned)) {
+      chosen.push_back(fault);
+    }
+  }
+  return chosen;
+}
+
 /// Injects a fault, and sometimes a second one at the same moment.
 void
-InjectFaults(World& aWorld, bool aPlannedOnly)
+InjectFaults(World& aWorld, const std::vector<Fault>& aFaults)
 {
   const std::size_t count = randomised::Uniform(aWorld) < 0.3 ? 2 : 1;
   for (std::size_t index = 0; index < count; ++index) {
-    const std::size_t kinds = aPlannedOnly ? 4 : std::size(kFaults);
-    kFaults[randomised::Pick(aWorld, kinds)].mRun(aWorld);
+    aFaults[randomised::Pick(aWorld, aFaults.size())].mRun(aWorld);
   }
-  randomised::Schedule(aWorld, kFaultInterval, [&aWorld, aPlannedOnly] {
-    InjectFaults(aWorld, aPlannedOnly);
+  randomised::Schedule(aWorld, kFaultInterval, [&aWorld, &aFaults] {
+    InjectFaults(aWorld, aFaults);
   });
 }
 
@@ -76,20 +96,20 @@
 {
   long long seed = 1;
   long long steps = 20000;
-  int planned = 0;
+  const char* faults = "all";
   int counters = 0;
   double loss = 0;
   long long traced = 0;
   const poptOption options[] = {
     { "seed", 's', POPT_ARG_LONGLONG, &seed, 0, "seed of the run", "N" },
     { "steps", 'n', POPT_ARG_LONGLONG, &steps, 0, "packets and messages", "M" },
-    { "planned",
-      'p',
-      POPT_ARG_NONE,
-      &planned,
+    { "faults",
+      'f',
+      POPT_ARG_STRING,
+      &faults,
       0,
-      "planned changes only",
-      nullptr },
+      "all, planned, or one fault",
+      "NAME" },
     { "counters", 'c', POPT_ARG_NONE, &counters, 0, "print counters", nullptr },
     { "trace", 't', POPT_ARG_LONGLONG, &traced, 0, "print one flow", "FLOW" },
     { "loss", 'l', POPT_ARG_DOUBLE, &loss, 0, "part of packets lost", "0..1" },
@@ -109,17 +129,23 @@
   const auto world = randomised::MakeWorld(worldOptions);
   world->mTraced = static_cast<std::uint64_t>(traced);
   randomised::StartArrivals(*world);
-  InjectFaults(*world, planned != 0);
+  const auto chosen = SelectFaults(faults);
+  if (chosen.empty()) {
+    std::cerr << "unknown fault: " << faults << '\n';
+    return 2;
+  }
+  InjectFaults(*world, chosen);
   randomised::RunWorld(
     *world, std::chrono::hours{ 24 }, static_cast<std::uint64_t>(steps));
   std::cout << "seed " << seed << '\n';
   Print(*world, counters != 0);
   const auto& tally = world->mTally;
+  const bool planned = std::ranges::all_of(chosen, &Fault::mPlanned);
   const bool violated =
     tally.mMisrouted + tally.mRanTwice + tally.mNotRunButRan +
         tally.mPlacedOnLeaving >
       0 ||
-    (planned != 0 && loss == 0 && tally.mBroken + tally.mHung > 0);
+    (planned && loss == 0 && tally.mBroken + tally.mHung > 0);
   std::cout << (violated ? "violated" : "held") << '\n';
   return violated ? 1 : 0;
 }
--- a/testing/randomised/upstream.cpp
+++ b/testing/randomised/upstream.cpp
@@ -37,6 +37,7 @@
                    aPayload,     aSequence,
                    aAcknowledged };
   packet.mFlow.mKey.mService = {};
+  packet.mOrigin = aUpstream.mDataCentre;
   SendToFabric(aWorld, packet);
 }
 
@@ -175,6 +176,22 @@
        Connection& aConnection)
 {
   const auto acknowledged = aEvent.mAcknowledged - aConnection.mFirstSent;
+  if (acknowledged > aConnection.mSent) {
+    // RFC 9293: an acknowledgement of something never sent resets a connection
+    // that is not established, and is ignored otherwise.
+    if (!aConnection.mEstablished) {
+      Answer(aWorld,
+             aUpstream,
+             aEvent.mKey,
+             aConnection.mCallerFlow,
+             SegmentKind::Reset,
+             aEvent.mAcknowledged,
+             0,
+             0);
+    }
+    return;
+  }
+  aConnection.mEstablished = true;
   if (acknowledged <= aConnection.mSent &&
       acknowledged > aConnection.mAcknowledged) {
     aConnection.mAcknowledged = acknowledged;
--- a/testing/randomised/world.cpp
+++ b/testing/randomised/world.cpp
@@ -73,7 +73,10 @@
 
   void ToUpstream(const Endpoint& aUpstream, const Packet& aPacket) const
   {
-    if (IsLost(mWorld) || IsSilenced(mWorld, aPacket)) {
+    const auto target = mWorld.mUpstreams.find(aUpstream);
+    if (target == mWorld.mUpstreams.end() || IsLost(mWorld) ||
+        IsSilenced(mWorld, aPacket) ||
+        !Connected(mWorld, mInstance.mDataCentre, target->second.mDataCentre)) {
       return;
     }
     Schedule(
@@ -84,6 +87,13 @@
 
   void ToCaller(const Packet& aPacket) const
   {
+    const auto flow = mWorld.mFlowOfKey.find(aPacket.mFlow.mKey);
+    if (flow == mWorld.mFlowOfKey.end() ||
+        !Connected(mWorld,
+                   mInstance.mDataCentre,
+                   mWorld.mCallers.at(flow->second).mHome)) {
+      return;
+    }
     if (IsLost(mWorld) || (IsSilenced(mWorld, aPacket) &&
                            aPacket.mFlow.mKind != SegmentKind::Reset)) {
       return;
@@ -369,6 +379,7 @@
         auto& fake = aWorld.mUpstreams[endpoint];
         fake.mEndpoint = endpoint;
         fake.mOrganisation = organisation.mId;
+        fake.mDataCentre = upstream.mDataCentre;
         const bool leaving = upstream.mState == state::UpstreamState::Leaving;
         fake.mLeavingSince = !leaving
                                ? TimePoint::max()
@@ -473,7 +484,8 @@
           const state::DataCentreId& aFirst,
           const state::DataCentreId& aSecond)
 {
-  return !aWorld.mCuts.contains(std::minmax(aFirst, aSecond));
+  return aFirst == aSecond ||
+         !aWorld.mCuts.contains(std::minmax(aFirst, aSecond));
 }
 
 void
@@ -484,10 +496,14 @@
   }
   std::vector<FakeInstance*> live;
   for (const auto& instance : aWorld.mInstances) {
-    if (instance->mAlive) {
+    if (instance->mAlive &&
+        Connected(aWorld, aPacket.mOrigin, instance->mDataCentre)) {
       live.push_back(instance.get());
     }
   }
+  if (live.empty()) {
+    return;
+  }
   auto* const target = live[Pick(aWorld, live.size())];
   Schedule(aWorld, HopDelay(aWorld), [&aWorld, target, aPacket] {
     DeliverToInstance(aWorld, *target, aPacket, {});
@@ -617,6 +633,9 @@
   auto world = std::make_unique<World>();
   world->mOptions = aOptions;
   world->mRandom.seed(aOptions.mSeed);
+  for (std::size_t index = 0; index < aOptions.mDataCentres; ++index) {
+    world->mDataCentres.push_back(DataCentreName(index));
+  }
   for (std::uint32_t index = 0; index < aOptions.mOrganisations; ++index) {
     world->mOrganisations.push_back(MakeOrganisation(aOptions, index));
   }
--- a/testing/randomised/world.hpp
+++ b/testing/randomised/world.hpp
@@ -70,6 +70,7 @@
   std::vector<state::Organisation> mOrganisations;
   std::vector<std::vector<state::Organisation>> mEarlierOrganisations;
   state::Revision mRevision = 1;
+  std::vector<state::DataCentreId> mDataCentres;
   std::set<std::pair<state::DataCentreId, state::DataCentreId>> mCuts;
   std::uint64_t mNextFlow = 1;
   std::uint64_t mNextInstance = 1;
