--- /dev/null
+++ b/include/sassafrasknot/coordination/control_message.hpp
@@ -0,0 +1,168 @@
+#ifndef SASSAFRASKNOT_COORDINATION_CONTROL_MESSAGE_HPP
+#define SASSAFRASKNOT_COORDINATION_CONTROL_MESSAGE_HPP
+
+#include "sassafrasknot/state/configuration_entry.hpp"
+#include "sassafrasknot/state/endpoint.hpp"
+#include "sassafrasknot/state/identifiers.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sassafrasknot::coordination {
+
+/// @brief What probes say of a member.
+enum class MemberHealth : std::uint8_t
+{
+  Alive,
+  Suspected, ///< Missed a probe; dead unless it refutes this in time.
+  Dead,
+};
+
+/// @brief One member as an instance sees it. For equal incarnations the worse
+/// health and mLeaving win; a higher incarnation wins over both.
+struct MemberUpdate
+{
+  state::InstanceId mId;
+  state::DataCentreId mDataCentre;
+  /// UDP endpoint for packets and peer messages.
+  state::Endpoint mPeerEndpoint;
+  /// TCP endpoint of the gRPC services.
+  state::Endpoint mControlEndpoint;
+  MemberHealth mHealth = MemberHealth::Alive;
+  /// A planned stop has begun.
+  bool mLeaving = false;
+  std::uint64_t mIncarnation = 0;
+
+  auto operator<=>(const MemberUpdate&) const = default;
+};
+
+/// @brief Asks a member for an acknowledgement.
+struct Probe
+{
+  std::uint32_t mToken = 0;
+  /// At most 6.
+  std::vector<MemberUpdate> mUpdates;
+
+  auto operator<=>(const Probe&) const = default;
+};
+
+/// @brief Asks a member to probe another one and to pass its acknowledgement
+/// on.
+struct IndirectProbe
+{
+  std::uint32_t mToken = 0;
+  state::InstanceId mTarget;
+  state::Endpoint mTargetEndpoint;
+  std::vector<MemberUpdate> mUpdates;
+
+  auto operator<=>(const IndirectProbe&) const = default;
+};
+
+/// @brief Answers a probe.
+struct Acknowledgement
+{
+  std::uint32_t mToken = 0;
+  /// The member that is alive; not the sender if this was passed on.
+  state::InstanceId mMember;
+  std::vector<MemberUpdate> mUpdates;
+
+  auto operator<=>(const Acknowledgement&) const = default;
+};
+
+/// @brief A key and what is known of it.
+struct DigestEntry
+{
+  std::string mKey;
+  /// Revision of the key's latest record.
+  state::Revision mRevision = 0;
+  /// Hash of the latest revision, the revision in force and the claims.
+  std::uint64_t mHash = 0;
+
+  auto operator<=>(const DigestEntry&) const = default;
+};
+
+/// @brief Says which configuration an instance has.
+struct Digest
+{
+  /// Keys that changed recently, newest first.
+  std::vector<DigestEntry> mRecent;
+  /// Hash of all keys and what is known of them.
+  std::uint64_t mMapHash = 0;
+
+  auto operator<=>(const Digest&) const = default;
+};
+
+/// @brief Asks for records. Sent over gRPC; the answer is one Records with the
+/// same token.
+struct Pull
+{
+  std::uint32_t mToken = 0;
+  /// Keys whose records are wanted.
+  std::vector<std::string> mKeys;
+  /// Hashes of the asker's keys by bucket; if given, the answer lists the keys
+  /// of the buckets that differ.
+  std::vector<std::uint64_t> mBucketHashes;
+
+  auto operator<=>(const Pull&) const = default;
+};
+
+/// @brief An endpoint that moved between organisations not long ago.
+struct QuarantinedEndpoint
+{
+  state::Endpoint mEndpoint;
+  /// Revision of the move.
+  state::Revision mRevision = 0;
+  /// Time since the move came into force on the sender.
+  std::chrono::milliseconds mAge{};
+
+  auto operator<=>(const QuarantinedEndpoint&) const = default;
+};
+
+/// @brief Answers a pull. Sent over gRPC.
+struct Records
+{
+  std::uint32_t mToken = 0;
+  std::vector<state::ConfigurationEntry> mEntries;
+  /// Keys of the buckets that differ.
+  std::vector<DigestEntry> mIndex;
+  std::vector<QuarantinedEndpoint> mQuarantined;
+};
+
+/// @brief What a data centre's contact tells other data centres once a second.
+struct DataCentreSummary
+{
+  state::DataCentreId mDataCentre;
+  /// Lowest revision in force among the data centre's instances that are
+  /// listed or alive.
+  state::Revision mLowestRevision = 0;
+  /// A slice of the members; the slices of successive summaries cover all.
+  std::vector<MemberUpdate> mMembers;
+
+  auto operator<=>(const DataCentreSummary&) const = default;
+};
+
+/// @brief What a message is about.
+using ControlBody = std::variant<Probe,
+                                 IndirectProbe,
+                                 Acknowledgement,
+                                 Digest,
+                                 Pull,
+                                 Records,
+                                 DataCentreSummary>;
+
+/// @brief A message between the control cores of two instances.
+struct ControlMessage
+{
+  /// The sender as it sees itself; never suspected or dead.
+  MemberUpdate mSender;
+  /// All changes up to this revision are in force on the sender.
+  state::Revision mRevision = 0;
+  ControlBody mBody;
+};
+
+} // namespace sassafrasknot::coordination
+
+#endif
