--- a/include/sassafrasknot/coordination/control_message.hpp
+++ b/include/sassafrasknot/coordination/control_message.hpp
@@ -6,6 +6,7 @@
 #include "sassafrasknot/state/identifiers.hpp"
 #include "sassafrasknot/state/time.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -91,6 +92,8 @@
   std::vector<DigestEntry> mRecent;
   /// Hash of all keys and what is known of them.
   std::uint64_t mMapHash = 0;
+  /// Whether this answers a digest; an answer is not answered.
+  bool mAnswer = false;
 
   auto operator<=>(const Digest&) const = default;
 };
@@ -144,6 +147,18 @@
   auto operator<=>(const DataCentreSummary&) const = default;
 };
 
+/// @brief What is known of another data centre, passed on within a data centre.
+struct DataCentreHeartbeat
+{
+  state::DataCentreId mDataCentre;
+  /// From the data centre's last summary.
+  state::Revision mLowestRevision = 0;
+  /// Time since the summary was received.
+  std::chrono::milliseconds mAge{};
+
+  auto operator<=>(const DataCentreHeartbeat&) const = default;
+};
+
 /// @brief What a message is about.
 using ControlBody = std::variant<Probe,
                                  IndirectProbe,
@@ -160,6 +175,8 @@
   MemberUpdate mSender;
   /// All changes up to this revision are in force on the sender.
   state::Revision mRevision = 0;
+  /// With probes and acknowledgements, at most 4.
+  std::vector<DataCentreHeartbeat> mHeartbeats;
   ControlBody mBody;
 };
 
--- a/include/sassafrasknot/state/configuration_entry.hpp
+++ b/include/sassafrasknot/state/configuration_entry.hpp
@@ -32,6 +32,8 @@
 struct ConfigurationEntry
 {
   ConfigurationRecord mLatest;
+  /// Highest revision at which the key was deleted, or zero.
+  Revision mDeletedAt = 0;
   /// For an organisation whose latest revision is not in force: what is.
   std::optional<RecordPair> mInForce;
   /// For an organisation: the endpoints that it holds, in ascending order.
--- /dev/null
+++ b/include/sassafrasknot/state/quarantine.hpp
@@ -0,0 +1,81 @@
+#ifndef SASSAFRASKNOT_STATE_QUARANTINE_HPP
+#define SASSAFRASKNOT_STATE_QUARANTINE_HPP
+
+#include "sassafrasknot/state/endpoint.hpp"
+#include "sassafrasknot/state/identifiers.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+#include <chrono>
+#include <map>
+#include <optional>
+
+namespace sassafrasknot::state {
+
+/// @brief 11 s for the change to reach all instances and 60 s for late packets.
+constexpr std::chrono::seconds kQuarantine{ 71 };
+
+/// @brief An endpoint that has left a service.
+struct Departure
+{
+  /// The service that it left; absent if another instance told of the move.
+  std::optional<ServiceId> mService;
+  /// Revision of the change.
+  Revision mRevision = 0;
+  /// When the change came into force.
+  TimePoint mSince;
+  /// Whether another service holds the endpoint now.
+  bool mMoved = false;
+};
+
+/// @brief Endpoints by the service that holds them, and those that left one.
+/// Upstream endpoints and service endpoints are treated alike.
+struct Quarantine
+{
+  std::map<Endpoint, ServiceId> mHolders;
+  std::map<Endpoint, Departure> mDepartures;
+};
+
+/// @brief Takes the endpoints that are in force. An endpoint that changed its
+/// service is quarantined; one that lost it is if another service takes it
+/// before the wait is over.
+/// @param aQuarantine the quarantine
+/// @param aHolders all endpoints and their services
+/// @param aRevision highest revision known
+/// @param aNow the time
+void
+ObserveHolders(Quarantine& aQuarantine,
+               std::map<Endpoint, ServiceId> aHolders,
+               Revision aRevision,
+               TimePoint aNow);
+
+/// @brief Takes a move that another instance has seen.
+/// @param aQuarantine the quarantine
+/// @param aEndpoint the endpoint
+/// @param aRevision revision of the move
+/// @param aSince when the move came into force on the other instance
+/// @return whether this instance did not know of the move
+bool
+AdoptMove(Quarantine& aQuarantine,
+          const Endpoint& aEndpoint,
+          Revision aRevision,
+          TimePoint aSince);
+
+/// @brief Ends the quarantines whose wait is over and whose change is in force
+/// on the whole fleet.
+/// @param aQuarantine the quarantine
+/// @param aFloor lowest revision in force on any instance listed or alive
+/// @param aNow the time
+/// @return whether a moved endpoint became usable
+bool
+EndQuarantines(Quarantine& aQuarantine, Revision aFloor, TimePoint aNow);
+
+/// @brief Returns whether an endpoint is quarantined.
+/// @param aQuarantine the quarantine
+/// @param aEndpoint the endpoint
+/// @return whether neither its old nor its new service may use it
+bool
+IsQuarantined(const Quarantine& aQuarantine, const Endpoint& aEndpoint);
+
+} // namespace sassafrasknot::state
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/state/claims.cpp
@@ -0,0 +1,161 @@
+#include "sassafrasknot/state/claims.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <unordered_map>
+
+namespace sassafrasknot::state {
+namespace {
+
+using Organisations = std::map<std::string, OrganisationState, std::less<>>;
+using Choices = std::map<std::string, PairChoice, std::less<>>;
+
+struct Holder
+{
+  Revision mRevision = 0;
+  const std::string* mKey = nullptr;
+};
+
+struct EndpointHash
+{
+  std::size_t operator()(const Endpoint& aEndpoint) const noexcept
+  {
+    return std::hash<std::uint64_t>{}(
+      (std::uint64_t{ aEndpoint.mAddress.mValue } << 16) | aEndpoint.mPort);
+  }
+};
+
+using Holders = std::unordered_map<Endpoint, Holder, EndpointHash>;
+
+bool
+IsUsable(const std::optional<RenderedPair>& aPair)
+{
+  return aPair && aPair->mOrganisation;
+}
+
+const RenderedPair*
+Chosen(const OrganisationState& aState, PairChoice aChoice)
+{
+  if (aChoice == PairChoice::None) {
+    return nullptr;
+  }
+  return aChoice == PairChoice::Latest ? &*aState.mLatest : &*aState.mFallback;
+}
+
+Revision
+ClaimRevision(const OrganisationState& aState,
+              const RenderedPair& aPair,
+              const Endpoint& aEndpoint)
+{
+  const auto found = aState.mClaims.find(aEndpoint);
+  const auto revision = PairRevision(aPair.mPair);
+  return found == aState.mClaims.end() ? revision
+                                       : std::min(found->second, revision);
+}
+
+Holders
+FindHolders(const Organisations& aOrganisations, const Choices& aChoices)
+{
+  Holders holders;
+  for (const auto& [key, state] : aOrganisations) {
+    const auto* pair = Chosen(state, aChoices.at(key));
+    if (pair == nullptr) {
+      continue;
+    }
+    for (const auto& endpoint : pair->mEndpoints) {
+      const Holder claim{ ClaimRevision(state, *pair, endpoint), &key };
+      const auto [at, inserted] = holders.try_emplace(endpoint, claim);
+      if (!inserted && std::tie(claim.mRevision, *claim.mKey) <
+                         std::tie(at->second.mRevision, *at->second.mKey)) {
+        at->second = claim;
+      }
+    }
+  }
+  return holders;
+}
+
+/// Returns the first endpoint that another organisation holds.
+const Endpoint*
+FirstConflict(const RenderedPair& aPair,
+              const std::string& aKey,
+              const Holders& aHolders)
+{
+  for (const auto& endpoint : aPair.mEndpoints) {
+    const auto found = aHolders.find(endpoint);
+    if (found != aHolders.end() && *found->second.mKey != aKey) {
+      return &endpoint;
+    }
+  }
+  return nullptr;
+}
+
+std::string
+ConflictReason(const Endpoint& aEndpoint, const Holders& aHolders)
+{
+  return "endpoint " + ToString(aEndpoint) + " is held by " +
+         *aHolders.at(aEndpoint).mKey;
+}
+
+/// Gives organisations that lost to one that lost itself another chance.
+void
+Promote(Organisations& aOrganisations,
+        Choices& aChoices,
+        const std::vector<std::pair<Revision, std::string>>& aDemoted)
+{
+  for (const auto& [revision, key] : aDemoted) {
+    auto& state = aOrganisations.find(key)->second;
+    const auto holders = FindHolders(aOrganisations, aChoices);
+    if (IsUsable(state.mLatest) &&
+        FirstConflict(*state.mLatest, key, holders) == nullptr) {
+      aChoices[key] = PairChoice::Latest;
+      state.mReason.clear();
+    } else if (aChoices[key] == PairChoice::None && IsUsable(state.mFallback) &&
+               FirstConflict(*state.mFallback, key, holders) == nullptr) {
+      aChoices[key] = PairChoice::Fallback;
+    }
+  }
+}
+
+} // namespace
+
+Revision
+PairRevision(const RecordPair& aPair)
+{
+  return std::max(aPair.mOrganisation.mRevision, aPair.mTemplate.mRevision);
+}
+
+Choices
+ResolveClaims(Organisations& aOrganisations)
+{
+  Choices choices;
+  for (auto& [key, state] : aOrganisations) {
+    choices[key] = IsUsable(state.mLatest)     ? PairChoice::Latest
+                   : IsUsable(state.mFallback) ? PairChoice::Fallback
+                                               : PairChoice::None;
+    state.mReason = state.mLatest ? state.mLatest->mReason : std::string();
+  }
+  std::set<std::pair<Revision, std::string>> demoted;
+  for (bool settled = false; !settled;) {
+    settled = true;
+    const auto holders = FindHolders(aOrganisations, choices);
+    for (auto& [key, state] : aOrganisations) {
+      auto& choice = choices[key];
+      const auto* pair = Chosen(state, choice);
+      const auto* conflict =
+        pair == nullptr ? nullptr : FirstConflict(*pair, key, holders);
+      if (conflict == nullptr) {
+        continue;
+      }
+      settled = false;
+      state.mReason = ConflictReason(*conflict, holders);
+      demoted.emplace(PairRevision(pair->mPair), key);
+      choice = choice == PairChoice::Latest && IsUsable(state.mFallback)
+                 ? PairChoice::Fallback
+                 : PairChoice::None;
+    }
+  }
+  Promote(aOrganisations, choices, { demoted.begin(), demoted.end() });
+  return choices;
+}
+
+} // namespace sassafrasknot::state
--- /dev/null
+++ b/src/sassafrasknot/state/quarantine.cpp
@@ -0,0 +1,108 @@
+#include "sassafrasknot/state/quarantine.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasknot::state {
+namespace {
+
+void
+NoteDepartures(Quarantine& aQuarantine,
+               const std::map<Endpoint, ServiceId>& aHolders,
+               Revision aRevision,
+               TimePoint aNow)
+{
+  for (const auto& [endpoint, service] : aQuarantine.mHolders) {
+    const auto holder = aHolders.find(endpoint);
+    if (holder != aHolders.end() && holder->second == service) {
+      continue;
+    }
+    const auto known = aQuarantine.mDepartures.find(endpoint);
+    const bool wasMoved =
+      known != aQuarantine.mDepartures.end() && known->second.mMoved;
+    // The service before an unfinished move keeps the endpoint's late packets.
+    auto old = wasMoved ? known->second.mService : std::optional(service);
+    aQuarantine.mDepartures[endpoint] = {
+      std::move(old), aRevision, aNow, wasMoved
+    };
+  }
+}
+
+void
+NoteArrivals(Quarantine& aQuarantine,
+             const std::map<Endpoint, ServiceId>& aHolders,
+             Revision aRevision,
+             TimePoint aNow)
+{
+  for (auto at = aQuarantine.mDepartures.begin();
+       at != aQuarantine.mDepartures.end();) {
+    auto& [endpoint, departure] = *at;
+    const auto holder = aHolders.find(endpoint);
+    if (holder == aHolders.end() || departure.mMoved) {
+      ++at;
+    } else if (departure.mService == holder->second) {
+      at = aQuarantine.mDepartures.erase(at);
+    } else {
+      departure.mMoved = true;
+      departure.mRevision = aRevision;
+      departure.mSince = aNow;
+      ++at;
+    }
+  }
+}
+
+} // namespace
+
+void
+ObserveHolders(Quarantine& aQuarantine,
+               std::map<Endpoint, ServiceId> aHolders,
+               Revision aRevision,
+               TimePoint aNow)
+{
+  if (aHolders == aQuarantine.mHolders) {
+    return;
+  }
+  NoteDepartures(aQuarantine, aHolders, aRevision, aNow);
+  NoteArrivals(aQuarantine, aHolders, aRevision, aNow);
+  aQuarantine.mHolders = std::move(aHolders);
+}
+
+bool
+AdoptMove(Quarantine& aQuarantine,
+          const Endpoint& aEndpoint,
+          Revision aRevision,
+          TimePoint aSince)
+{
+  const auto [at, inserted] = aQuarantine.mDepartures.try_emplace(
+    aEndpoint, Departure{ std::nullopt, aRevision, aSince, true });
+  if (inserted) {
+    return true;
+  }
+  auto& departure = at->second;
+  departure.mRevision = std::max(departure.mRevision, aRevision);
+  departure.mSince = std::max(departure.mSince, aSince);
+  return !std::exchange(departure.mMoved, true);
+}
+
+bool
+EndQuarantines(Quarantine& aQuarantine, Revision aFloor, TimePoint aNow)
+{
+  bool usable = false;
+  std::erase_if(aQuarantine.mDepartures, [&](const auto& aEntry) {
+    const auto& departure = aEntry.second;
+    const bool over =
+      aNow - departure.mSince >= kQuarantine && aFloor >= departure.mRevision;
+    usable = usable || (over && departure.mMoved);
+    return over;
+  });
+  return usable;
+}
+
+bool
+IsQuarantined(const Quarantine& aQuarantine, const Endpoint& aEndpoint)
+{
+  const auto found = aQuarantine.mDepartures.find(aEndpoint);
+  return found != aQuarantine.mDepartures.end() && found->second.mMoved;
+}
+
+} // namespace sassafrasknot::state
