Add membership, dissemination and the control core

Cause: the transport needs the decisions behind the control headers. Change: membership, stall guard, dissemination, platform reader and the core that composes them.

--- /dev/null
+++ b/include/sassafrasknot/coordination/stall_guard.hpp
@@ -0,0 +1,52 @@
+#ifndef SASSAFRASKNOT_COORDINATION_STALL_GUARD_HPP
+#define SASSAFRASKNOT_COORDINATION_STALL_GUARD_HPP
+
+#include "sassafrasknot/state/identifiers.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <set>
+
+namespace sassafrasknot::coordination {
+
+/// @brief Time after which others count this instance as dead: 700 ms until
+/// it is suspected and 2 s of suspicion.
+constexpr std::chrono::milliseconds kFailureTimeout{ 2700 };
+
+/// @brief Whether this instance may rely on its own state.
+struct StallGuard
+{
+  state::TimePoint mLastTick;
+  bool mTrusted = true;
+  state::TimePoint mDistrustedSince;
+  /// Peers that answered a probe sent after the stall.
+  std::set<state::InstanceId> mHeard;
+};
+
+/// @brief Notes that the event loop runs.
+/// @param aGuard the guard
+/// @param aNow the time
+/// @return whether a stall longer than kFailureTimeout has just ended, so that
+/// this instance's state is to be treated as stale
+bool
+NoteTick(StallGuard& aGuard, state::TimePoint aNow);
+
+/// @brief Notes that a peer answered a probe sent after the stall.
+/// @param aGuard the guard
+/// @param aPeer the peer
+void
+NoteAnswer(StallGuard& aGuard, const state::InstanceId& aPeer);
+
+/// @brief Trusts the state again once two peers have answered (or all, if
+/// fewer), or 2 s have passed without any answer.
+/// @param aGuard the guard
+/// @param aPeers peers that may answer
+/// @param aNow the time
+/// @return whether the state has just become trusted
+bool
+RestoreTrust(StallGuard& aGuard, std::size_t aPeers, state::TimePoint aNow);
+
+} // namespace sassafrasknot::coordination
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/coordination/control_core.cpp
@@ -0,0 +1,584 @@
+#include "sassafrasknot/coordination/control_core.hpp"
+
+#include "sassafrasknot/coordination/dissemination.hpp"
+#include "sassafrasknot/coordination/member_queries.hpp"
+#include "sassafrasknot/coordination/membership.hpp"
+#include "sassafrasknot/coordination/platform_reader.hpp"
+#include "sassafrasknot/coordination/stall_guard.hpp"
+#include "sassafrasknot/state/configuration_store.hpp"
+#include "sassafrasknot/state/snapshot_builder.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include <boost/property_tree/json_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+using state::TimePoint;
+
+/// Platform readers of each data centre.
+constexpr std::size_t kReaders = 2;
+/// Joins the membership changes of a bad minute into few snapshots.
+constexpr std::chrono::milliseconds kMembershipPause{ 500 };
+/// A refuted suspicion changes nothing but the incarnation.
+constexpr std::chrono::seconds kIncarnationPause{ 5 };
+constexpr std::chrono::milliseconds kSeedPeriod{ 500 };
+constexpr std::chrono::seconds kSeedPeriodWithMembers{ 10 };
+constexpr std::size_t kSeedsAtOnce = 3;
+
+bool
+UsesGrpc(const ControlBody& aBody)
+{
+  return std::holds_alternative<Pull>(aBody) ||
+         std::holds_alternative<Records>(aBody);
+}
+
+bool
+CarriesHeartbeats(const ControlBody& aBody)
+{
+  return std::holds_alternative<Probe>(aBody) ||
+         std::holds_alternative<Acknowledgement>(aBody);
+}
+
+/// When the next snapshot is due, if any.
+struct PublishPlan
+{
+  std::optional<TimePoint> mDue;
+  TimePoint mLast;
+
+  void Request(TimePoint aNow, state::Duration aPause)
+  {
+    const auto due = std::max(aNow, mLast + aPause);
+    mDue = mDue ? std::min(*mDue, due) : due;
+  }
+};
+
+} // namespace
+
+struct ControlCore::Impl
+{
+  ControlSettings mSettings;
+  RandomGenerator mRandom;
+  TimePoint mStarted;
+  Membership mMembership;
+  StallGuard mGuard;
+  state::ConfigurationStore mStore;
+  Dissemination mDissemination;
+  PlatformReader mReader;
+  state::SnapshotBuilder mBuilder;
+  PublishPlan mPlan;
+  TimePoint mNextSeed;
+  std::set<state::DataCentreId> mReachable;
+  std::shared_ptr<const state::Snapshot> mSnapshot;
+  state::Counters mCounters;
+  ControlActions mActions;
+
+  void Send(std::vector<Outgoing> aOutgoing, TimePoint aNow);
+  void Log(LogLevel aLevel,
+           std::string aMessage,
+           std::vector<std::pair<std::string, std::string>> aFields);
+  void Apply(MembershipResult aResult, TimePoint aNow);
+  void ApplyMerge(const state::MergeResult& aResult, TimePoint aNow);
+  void ReadSeeds(TimePoint aNow);
+  void CheckStall(TimePoint aNow);
+  void CheckReachable(TimePoint aNow);
+  void CheckQuarantine(TimePoint aNow);
+  void CheckPlatform(TimePoint aNow);
+  void PublishIfDue(TimePoint aNow);
+  void TakeBody(const ControlMessage& aMessage, TimePoint aNow);
+  void TakeRecords(const ControlMessage& aMessage,
+                   const Records& aRecords,
+                   TimePoint aNow);
+  Records MakeRecords(const Pull& aPull, TimePoint aNow) const;
+  ControlActions Finish(TimePoint aNow);
+};
+
+void
+ControlCore::Impl::Send(std::vector<Outgoing> aOutgoing, TimePoint aNow)
+{
+  for (auto& outgoing : aOutgoing) {
+    const bool grpc = UsesGrpc(outgoing.mBody);
+    ControlMessage message{
+      mMembership.mSelf, mStore.mCompleteRevision, {}, {}
+    };
+    if (CarriesHeartbeats(outgoing.mBody)) {
+      message.mHeartbeats = MakeHeartbeats(mMembership, aNow);
+    }
+    message.mBody = std::move(outgoing.mBody);
+    state::Increment(mCounters, "control_messages_sent_total");
+    mActions.emplace_back(SendMessage{
+      grpc ? Channel::Grpc : Channel::Udp, outgoing.mTo, std::move(message) });
+  }
+}
+
+void
+ControlCore::Impl::Log(LogLevel aLevel,
+                       std::string aMessage,
+                       std::vector<std::pair<std::string, std::string>> aFields)
+{
+  mActions.emplace_back(
+    LogEvent{ aLevel, std::move(aMessage), std::move(aFields) });
+}
+
+void
+ControlCore::Impl::Apply(MembershipResult aResult, TimePoint aNow)
+{
+  Send(std::move(aResult.mOutgoing), aNow);
+  for (const auto& update : aResult.mTransitions) {
+    const bool dead = update.mHealth == MemberHealth::Dead;
+    state::Increment(mCounters,
+                     dead ? "members_dead_total" : "members_returned_total");
+    Log(dead ? LogLevel::Warning : LogLevel::Info,
+        dead ? "member is dead" : "member is alive again",
+        { { "member", update.mId.mValue },
+          { "data_centre", update.mDataCentre.mValue },
+          { "incarnation", std::to_string(update.mIncarnation) } });
+  }
+  if (aResult.mChanged) {
+    mPlan.Request(aNow, kMembershipPause);
+  } else if (aResult.mIncarnationChanged) {
+    mPlan.Request(aNow, kIncarnationPause);
+  }
+}
+
+void
+ControlCore::Impl::ApplyMerge(const state::MergeResult& aResult, TimePoint aNow)
+{
+  if (aResult.mChanged.empty()) {
+    return;
+  }
+  state::Increment(
+    mCounters, "configuration_keys_changed_total", aResult.mChanged.size());
+  for (const auto& rejection : aResult.mRejected) {
+    state::Increment(mCounters, "organisations_rejected_total");
+    Log(LogLevel::Error,
+        "organisation's change is not in force",
+        { { "key", rejection.mKey },
+          { "revision", std::to_string(rejection.mRevision) },
+          { "reason", rejection.mReason } });
+  }
+  for (const auto& key : aResult.mChanged) {
+    const auto& document = mStore.mRecords.find(key)->second.mDocument;
+    if (const auto* list =
+          std::get_if<state::InstanceListDocument>(document.get())) {
+      Apply(TakePublishedList(mMembership, *list, aNow), aNow);
+    }
+  }
+  state::UpdateServices(mBuilder, mStore, aNow);
+  mPlan.Request(aNow, {});
+  Send(AnnounceChanges(
+         mDissemination, mStore, mMembership, aResult.mChanged, mRandom, aNow),
+       aNow);
+}
+
+/// Asks seeds while this instance knows no other one, and rarely after that,
+/// so that two groups that were started apart find each other.
+void
+ControlCore::Impl::ReadSeeds(TimePoint aNow)
+{
+  if (aNow < mNextSeed || mSettings.mSeeds.empty()) {
+    return;
+  }
+  const bool alone = std::none_of(
+    mMembership.mMembers.begin(),
+    mMembership.mMembers.end(),
+    [](const auto& aEntry) { return aEntry.second.mHeard != TimePoint{}; });
+  mNextSeed = aNow + (alone ? state::Duration(kSeedPeriod)
+                            : state::Duration(kSeedPeriodWithMembers));
+  std::vector<state::Endpoint> chosen;
+  std::sample(mSettings.mSeeds.begin(),
+              mSettings.mSeeds.end(),
+              std::back_inserter(chosen),
+              kSeedsAtOnce,
+              mRandom);
+  std::vector<Outgoing> outgoing;
+  for (const auto& seed : chosen) {
+    if (seed != mSettings.mPeerEndpoint) {
+      outgoing.push_back({ seed, Probe{ mMembership.mNextToken++, {} } });
+    }
+  }
+  Send(std::move(outgoing), aNow);
+}
+
+void
+ControlCore::Impl::CheckStall(TimePoint aNow)
+{
+  if (NoteTick(mGuard, aNow)) {
+    state::Increment(mCounters, "stalls_total");
+    Log(LogLevel::Warning, "this instance stalled", {});
+    Apply(RestartMembership(mMembership, mRandom, aNow), aNow);
+    mPlan.Request(aNow, {});
+  }
+  if (RestoreTrust(mGuard, CountPeers(mMembership), aNow)) {
+    Log(LogLevel::Info,
+        "this instance's state is trusted again",
+        { { "answers", std::to_string(mGuard.mHeard.size()) } });
+    mPlan.Request(aNow, {});
+  }
+}
+
+void
+ControlCore::Impl::CheckReachable(TimePoint aNow)
+{
+  auto reachable = ReachableDataCentres(mMembership, aNow);
+  if (reachable == mReachable) {
+    return;
+  }
+  const auto report = [&](const auto& aSet,
+                          const auto& aOther,
+                          LogLevel aLevel,
+                          const char* aMessage) {
+    for (const auto& dataCentre : aSet) {
+      if (!aOther.contains(dataCentre)) {
+        Log(aLevel, aMessage, { { "data_centre", dataCentre.mValue } });
+      }
+    }
+  };
+  report(
+    mReachable, reachable, LogLevel::Warning, "data centre is unreachable");
+  report(reachable, mReachable, LogLevel::Info, "data centre is reachable");
+  mReachable = std::move(reachable);
+  mPlan.Request(aNow, {});
+}
+
+void
+ControlCore::Impl::CheckQuarantine(TimePoint aNow)
+{
+  if (mBuilder.mQuarantine.mDepartures.empty()) {
+    return;
+  }
+  const auto floor = FleetFloor(mMembership, mStore.mCompleteRevision);
+  if (state::EndQuarantines(mBuilder.mQuarantine, floor, aNow)) {
+    Log(LogLevel::Info,
+        "quarantine ended",
+        { { "floor", std::to_string(floor) } });
+    state::UpdateServices(mBuilder, mStore, aNow);
+    mPlan.Request(aNow, {});
+  }
+}
+
+void
+ControlCore::Impl::CheckPlatform(TimePoint aNow)
+{
+  const bool assigned = IsAssigned(mMembership, "platform-readers", kReaders);
+  if (const auto read = NextRead(mReader,
+                                 assigned,
+                                 mStore.mCompleteRevision,
+                                 mDissemination.mLastDigest,
+                                 mRandom,
+                                 aNow)) {
+    state::Increment(mCounters, "platform_reads_total");
+    mActions.emplace_back(*read);
+  }
+}
+
+void
+ControlCore::Impl::PublishIfDue(TimePoint aNow)
+{
+  if (!mPlan.mDue || aNow < *mPlan.mDue) {
+    return;
+  }
+  mPlan = { std::nullopt, aNow };
+  mSnapshot = state::BuildSnapshot(mBuilder,
+                                   { mSettings.mId,
+                                     mSettings.mDataCentre,
+                                     mStore.mHighestRevision,
+                                     MakeInstanceViews(mMembership),
+                                     mReachable,
+                                     mGuard.mTrusted,
+                                     mMembership.mSelf.mLeaving });
+  state::Increment(mCounters, "snapshots_published_total");
+  mActions.emplace_back(PublishSnapshot{ mSnapshot });
+}
+
+Records
+ControlCore::Impl::MakeRecords(const Pull& aPull, TimePoint aNow) const
+{
+  auto records = AnswerPull(mStore, aPull);
+  for (const auto& [endpoint, departure] : mBuilder.mQuarantine.mDepartures) {
+    if (departure.mMoved) {
+      records.mQuarantined.push_back(
+        { endpoint,
+          departure.mRevision,
+          std::chrono::floor<std::chrono::milliseconds>(aNow -
+                                                        departure.mSince) });
+    }
+  }
+  return records;
+}
+
+void
+ControlCore::Impl::TakeRecords(const ControlMessage& aMessage,
+                               const Records& aRecords,
+                               TimePoint aNow)
+{
+  // A process that runs for longer has seen the moves itself.
+  if (aNow - mStarted < state::kQuarantine) {
+    for (const auto& moved : aRecords.mQuarantined) {
+      if (state::AdoptMove(mBuilder.mQuarantine,
+                           moved.mEndpoint,
+                           moved.mRevision,
+                           aNow - moved.mAge)) {
+        state::UpdateServices(mBuilder, mStore, aNow);
+        mPlan.Request(aNow, {});
+      }
+    }
+  }
+  ApplyMerge(state::MergeEntries(mStore, aRecords.mEntries), aNow);
+  Send(TakeAnswer(mDissemination, mStore, aMessage, aRecords, aNow), aNow);
+}
+
+void
+ControlCore::Impl::TakeBody(const ControlMessage& aMessage, TimePoint aNow)
+{
+  const auto& sender = aMessage.mSender;
+  if (const auto* answer = std::get_if<Acknowledgement>(&aMessage.mBody);
+      answer != nullptr && sender.mDataCentre == mSettings.mDataCentre &&
+      answer->mToken >= mMembership.mFirstValidToken) {
+    NoteAnswer(mGuard, sender.mId);
+  }
+  if (const auto* digest = std::get_if<Digest>(&aMessage.mBody)) {
+    Send(TakeDigest(mDissemination, mStore, aMessage, *digest, aNow), aNow);
+  } else if (const auto* pull = std::get_if<Pull>(&aMessage.mBody)) {
+    state::Increment(mCounters, "pulls_answered_total");
+    Send({ { sender.mControlEndpoint, MakeRecords(*pull, aNow) } }, aNow);
+  } else if (const auto* records = std::get_if<Records>(&aMessage.mBody)) {
+    TakeRecords(aMessage, *records, aNow);
+  }
+  // An instance that has just started asks whoever answers first.
+  if (mStore.mRecords.empty() && aMessage.mRevision > 0) {
+    Send(CompareAll(mDissemination, mStore, sender.mControlEndpoint, aNow),
+         aNow);
+  }
+}
+
+ControlActions
+ControlCore::Impl::Finish(TimePoint aNow)
+{
+  PublishIfDue(aNow);
+  return std::exchange(mActions, {});
+}
+
+ControlCore::ControlCore(ControlSettings aSettings,
+                         std::uint64_t aSeed,
+                         TimePoint aNow)
+  : mImpl(std::make_unique<Impl>())
+{
+  auto& impl = *mImpl;
+  impl.mRandom.seed(aSeed);
+  impl.mStarted = aNow;
+  impl.mGuard.mLastTick = aNow;
+  impl.mMembership.mSelf = {
+    aSettings.mId,           aSettings.mDataCentre,
+    aSettings.mPeerEndpoint, aSettings.mControlEndpoint,
+    MemberHealth::Alive,     false,
+    aSettings.mIncarnation
+  };
+  // Instances that start together must not send in the same instant.
+  const auto spread = [&](state::Duration aPeriod) {
+    return aNow + state::Duration(std::uniform_int_distribution<std::int64_t>(
+                    0, aPeriod.count())(impl.mRandom));
+  };
+  impl.mMembership.mNextProbe = spread(kProbePeriod);
+  impl.mMembership.mNextDeadProbe = spread(std::chrono::seconds(1));
+  impl.mMembership.mNextSummary = spread(std::chrono::seconds(1));
+  impl.mDissemination.mNextDigest = spread(std::chrono::seconds(1));
+  impl.mDissemination.mLastDigest = aNow;
+  impl.mDissemination.mCompared = aNow - std::chrono::hours(1);
+  impl.mDissemination.mLastChange = aNow - std::chrono::hours(1);
+  impl.mReader = MakePlatformReader(impl.mRandom, aNow);
+  impl.mNextSeed = aNow;
+  impl.mReachable = { aSettings.mDataCentre };
+  impl.mSettings = std::move(aSettings);
+  impl.mPlan.Request(aNow, {});
+  impl.PublishIfDue(aNow);
+  impl.mPlan.Request(aNow, {});
+  impl.mActions.clear();
+}
+
+ControlCore::~ControlCore() = default;
+ControlCore::ControlCore(ControlCore&&) noexcept = default;
+ControlCore&
+ControlCore::operator=(ControlCore&&) noexcept = default;
+
+ControlActions
+ControlCore::OnTick(TimePoint aNow)
+{
+  auto& impl = *mImpl;
+  impl.CheckStall(aNow);
+  impl.ReadSeeds(aNow);
+  impl.Apply(TickMembership(impl.mMembership, impl.mRandom, aNow), aNow);
+  impl.Send(
+    MakeSummaries(
+      impl.mMembership, impl.mStore.mCompleteRevision, impl.mRandom, aNow),
+    aNow);
+  impl.Send(
+    TickDissemination(
+      impl.mDissemination, impl.mStore, impl.mMembership, impl.mRandom, aNow),
+    aNow);
+  impl.CheckReachable(aNow);
+  impl.CheckQuarantine(aNow);
+  impl.CheckPlatform(aNow);
+  return impl.Finish(aNow);
+}
+
+ControlActions
+ControlCore::OnMessage(TimePoint aNow, const ControlMessage& aMessage)
+{
+  auto& impl = *mImpl;
+  if (aMessage.mSender.mId == impl.mSettings.mId) {
+    return {};
+  }
+  state::Increment(impl.mCounters, "control_messages_received_total");
+  impl.CheckStall(aNow);
+  impl.Apply(TakeMessage(impl.mMembership, aMessage, impl.mRandom, aNow), aNow);
+  impl.TakeBody(aMessage, aNow);
+  return impl.Finish(aNow);
+}
+
+ControlActions
+ControlCore::OnPlatformRecords(
+  TimePoint aNow,
+  const std::vector<state::ConfigurationRecord>& aRecords,
+  state::Revision aRevision,
+  bool aFull)
+{
+  auto& impl = *mImpl;
+  impl.CheckStall(aNow);
+  const bool stale = aRevision < impl.mStore.mCompleteRevision;
+  const auto above = aFull ? std::nullopt : impl.mReader.mAbove;
+  // Records of a watch that is not known any more may leave a gap below them.
+  const auto revision = aFull || above ? aRevision : state::Revision{ 0 };
+  const auto result = state::MergeRecords(
+    impl.mStore,
+    aRecords,
+    revision,
+    aFull ? std::nullopt : std::optional(above.value_or(0)));
+  if (stale) {
+    state::Increment(impl.mCounters, "platform_answers_stale_total");
+  }
+  NoteAnswer(impl.mReader, stale, impl.mRandom, aNow);
+  impl.ApplyMerge(result, aNow);
+  impl.CheckPlatform(aNow);
+  return impl.Finish(aNow);
+}
+
+ControlActions
+ControlCore::OnPlatformFailure(TimePoint aNow, const state::Error& aError)
+{
+  auto& impl = *mImpl;
+  impl.CheckStall(aNow);
+  NoteFailure(impl.mReader, aError, impl.mRandom, aNow);
+  state::Increment(impl.mCounters, "platform_failures_total");
+  impl.Log(LogLevel::Warning,
+           "platform read failed",
+           { { "error", std::string(ToString(aError.mCode)) },
+             { "message", aError.mMessage } });
+  return impl.Finish(aNow);
+}
+
+ControlActions
+ControlCore::OnWatchReturned(TimePoint aNow, state::Revision aRevision)
+{
+  auto& impl = *mImpl;
+  impl.CheckStall(aNow);
+  const bool stale = aRevision < impl.mStore.mCompleteRevision;
+  if (!stale && impl.mReader.mAbove &&
+      *impl.mReader.mAbove <= impl.mStore.mCompleteRevision) {
+    state::RaiseCompleteRevision(impl.mStore, aRevision);
+  }
+  NoteAnswer(impl.mReader, stale, impl.mRandom, aNow);
+  impl.CheckPlatform(aNow);
+  return impl.Finish(aNow);
+}
+
+ControlActions
+ControlCore::OnStopRequested(TimePoint aNow)
+{
+  auto& impl = *mImpl;
+  impl.Log(LogLevel::Info, "planned stop begins", {});
+  impl.Apply(LeaveMembership(impl.mMembership, impl.mRandom, aNow), aNow);
+  impl.mPlan.Request(aNow, {});
+  return impl.Finish(aNow);
+}
+
+std::shared_ptr<const state::Snapshot>
+ControlCore::CurrentSnapshot() const
+{
+  return mImpl->mSnapshot;
+}
+
+state::Revision
+ControlCore::RevisionInForce() const
+{
+  return mImpl->mStore.mCompleteRevision;
+}
+
+const state::Counters&
+ControlCore::Counters() const
+{
+  return mImpl->mCounters;
+}
+
+std::string
+ControlCore::Dump() const
+{
+  using boost::property_tree::ptree;
+  const auto& impl = *mImpl;
+  ptree root;
+  root.put("instance", impl.mSettings.mId.mValue);
+  root.put("data_centre", impl.mSettings.mDataCentre.mValue);
+  root.put("revision_in_force", impl.mStore.mCompleteRevision);
+  root.put("highest_revision", impl.mStore.mHighestRevision);
+  root.put("trusted", impl.mGuard.mTrusted);
+  root.put("stopping", impl.mMembership.mSelf.mLeaving);
+  ptree members;
+  for (const auto& [id, member] : impl.mMembership.mMembers) {
+    static constexpr std::array kHealth{ "alive", "suspected", "dead" };
+    ptree item;
+    item.put("id", id.mValue);
+    item.put("data_centre", member.mUpdate.mDataCentre.mValue);
+    item.put("health",
+             kHealth.at(static_cast<std::size_t>(member.mUpdate.mHealth)));
+    item.put("leaving", member.mUpdate.mLeaving);
+    item.put("incarnation", member.mUpdate.mIncarnation);
+    item.put("listed", member.mListed);
+    item.put("revision_in_force", member.mRevision);
+    members.push_back({ "", item });
+  }
+  root.add_child("members", members);
+  ptree organisations;
+  for (const auto& [key, organisation] : impl.mStore.mOrganisations) {
+    ptree item;
+    item.put("key", key);
+    item.put("latest_revision",
+             impl.mStore.mRecords.find(key)->second.mRevision);
+    item.put("revision_in_force",
+             organisation.mInForcePair
+               ? organisation.mInForcePair->mOrganisation.mRevision
+               : 0);
+    item.put("reason", organisation.mReason);
+    organisations.push_back({ "", item });
+  }
+  root.add_child("organisations", organisations);
+  ptree quarantined;
+  for (const auto& [endpoint, departure] :
+       impl.mBuilder.mQuarantine.mDepartures) {
+    ptree item;
+    item.put("endpoint", ToString(endpoint));
+    item.put("revision", departure.mRevision);
+    item.put("moved", departure.mMoved);
+    quarantined.push_back({ "", item });
+  }
+  root.add_child("quarantine", quarantined);
+  std::ostringstream text;
+  boost::property_tree::write_json(text, root, false);
+  return text.str();
+}
+
+} // namespace sassafrasknot::coordination
