Render, validate and decode the platform's documents

Cause: instances and operators need one strict reading of what the platform stores, so that a faulty document never takes effect in part.

Change: state gains Render, Validate and ClaimedEndpoints with the allowed ranges in ranges.hpp. protocol gains a codec of the documents and one of the platform's answer, on Boost.JSON. Faults name their path and what is allowed. A faulty value keeps its text and has no document, so it does not hold up other records. Boost.JSON drops repeated members, hence a second pass (json_scan) that finds them and keeps each value's own text.

Decisions where the design is silent: an address occurs once within an organisation; a listener's port and its upstream port occur once per service, whatever the protocol, because both lookups use the endpoint alone; limits in an organisation replace the template's as a whole and must be complete.

Conclusion: other modules can build on these headers.

--- /dev/null
+++ b/include/sassafrasknot/state/ranges.hpp
@@ -0,0 +1,70 @@
+#ifndef SASSAFRASKNOT_STATE_RANGES_HPP
+#define SASSAFRASKNOT_STATE_RANGES_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace sassafrasknot::state {
+
+/// @brief A closed range of allowed numbers.
+template<typename T>
+struct Range
+{
+  T mLowest;
+  T mHighest;
+
+  constexpr bool Contains(T aValue) const
+  {
+    return aValue >= mLowest && aValue <= mHighest;
+  }
+};
+
+constexpr Range<std::uint64_t> kPortRange{ 1, 65535 };
+constexpr Range<std::uint64_t> kSlotsRange{ 1, 10000 };
+constexpr Range<std::uint64_t> kConnectionsRange{ 1, 1000000 };
+constexpr Range<std::uint64_t> kShardsRange{ 1, 64 };
+/// In milliseconds.
+constexpr Range<std::uint64_t> kQueueDeadlineRange{ 1, 600000 };
+/// In milliseconds.
+constexpr Range<std::uint64_t> kSlowStartRange{ 0, 600000 };
+/// In milliseconds.
+constexpr Range<std::uint64_t> kKeepaliveRange{ 1000, 3600000 };
+constexpr Range<double> kWeightRange{ 0.001, 1000 };
+constexpr Range<double> kQueuePerSlotRange{ 0, 1000 };
+constexpr Range<double> kShareRange{ 0, 1 };
+
+constexpr std::size_t kNameLength = 63;
+constexpr std::size_t kServicesPerOrganisation = 64;
+constexpr std::size_t kListenersPerService = 64;
+constexpr std::size_t kUpstreamsPerService = 4096;
+constexpr std::size_t kInstancesPerDataCentre = 1024;
+constexpr std::size_t kUpstreamsPerDataCentre = 16384;
+
+/// What a name may look like, for messages.
+constexpr std::string_view kNameRule =
+  "1 to 63 characters of a-z, 0-9 and '-', first and last no '-'";
+
+/// @brief Returns whether a name of an organisation, template, service,
+/// instance or data centre is well formed (kNameRule).
+/// @param aName the name
+/// @return true if it is
+bool
+IsName(std::string_view aName);
+
+/// @brief Describes a range for a message.
+/// @param aRange the range
+/// @return text such as "1 to 65535"
+std::string
+ToString(const Range<std::uint64_t>& aRange);
+
+/// @brief Describes a range for a message.
+/// @param aRange the range
+/// @return text such as "0.001 to 1000"
+std::string
+ToString(const Range<double>& aRange);
+
+} // namespace sassafrasknot::state
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/protocol/platform_codec_test.cpp
@@ -0,0 +1,106 @@
+#include "sassafrasknot/protocol/platform_codec.hpp"
+#include "sassafrasknot/protocol/text_mutation_test.hpp"
+
+#include <gmock/gmock.h>
+#include <rapidcheck/gtest.h>
+
+namespace sassafrasknot::protocol {
+namespace {
+
+using testing::StartsWith;
+
+constexpr std::string_view kAnswer =
+  R"({"revision": 9, "full": true, "records": [
+  {"key": "upstreams/dc1", "revision": 4,
+   "value": {"upstreams": [{"address": "127.20.0.1", "state": "live"}]}},
+  {"key": "organisations/gone", "revision": 9, "deleted": true},
+  {"key": "upstreams/dc2", "revision": 7,
+   "value": {"upstreams": [], "x": [1, {"\n": null}, "\u00e9", 1e3, true],
+             "x": 2}}]})";
+
+// Guards against one faulty value that holds up the records of all others, and
+// against repeated members that vanish from the text that peers receive.
+TEST(PlatformCodec, FaultyValueKeepsItsTextWithoutDocument)
+{
+  const auto answer = DecodePlatformAnswer(kAnswer);
+  ASSERT_TRUE(answer.has_value()) << answer.error().mMessage;
+  EXPECT_EQ(answer.value().mRevision, 9U);
+  EXPECT_TRUE(answer.value().mFull);
+  const auto& records = answer.value().mRecords;
+  ASSERT_EQ(records.size(), 3U);
+  EXPECT_NE(records[0].mDocument, nullptr);
+  EXPECT_EQ(records[0].mText,
+            R"({"upstreams":[{"address":"127.20.0.1","state":"live"}]})");
+  EXPECT_TRUE(records[1].mDeleted);
+  EXPECT_EQ(records[2].mDocument, nullptr);
+  EXPECT_EQ(records[2].mText,
+            "{\"upstreams\":[],\"x\":[1,{\"\\n\":null},\"\xC3\xA9\",1e3,true],"
+            "\"x\":2}");
+}
+
+// Guards against answers that change when an instance or a test encodes them.
+TEST(PlatformCodec, EncodedAnswerReadsBack)
+{
+  const auto answer = DecodePlatformAnswer(kAnswer).value();
+  const auto text = EncodePlatformAnswer(answer);
+  const auto again = DecodePlatformAnswer(text);
+  ASSERT_TRUE(again.has_value()) << again.error().mMessage;
+  EXPECT_EQ(EncodePlatformAnswer(again.value()), text);
+  EXPECT_EQ(again.value().mRecords[2].mText, answer.mRecords[2].mText);
+}
+
+// Guards against answers that would move a key to a revision that the platform
+// never gave it.
+TEST(PlatformCodec, RefusesFaultsWithTheirPlace)
+{
+  const std::pair<std::string, std::string> rows[] = {
+    { R"({"revision":1,"records":[]})", "full: is required" },
+    { R"({"revision":-1,"records":[],"full":true})", "revision: must" },
+    { R"({"revision":1,"revision":2,"records":[],"full":true})",
+      "revision: m" },
+    { R"({"revision":1,"records":{},"full":true})", "records: must be" },
+    { R"({"revision":1,"records":[1],"full":true})", "records/0: must be" },
+    { R"({"revision":1,"full":true,
+       "records":[{"key":"upstreams/a","revision":2,"deleted":true}]})",
+      "records/0/revision: must be a whole number from 1 to 1" },
+    { R"({"revision":1,"full":true,
+       "records":[{"key":"upstreams/a","revision":1}]})",
+      "records/0/value: is required" },
+    { R"({"revision":1,"full":true,"records":[
+       {"key":"upstreams/a","revision":1,"deleted":true,"value":{}}]})",
+      "records/0/value: must be absent" },
+    { R"({"revision":1,"full":true,"records":[
+       {"key":"a","revision":1,"value":{},"value":{}}]})",
+      "records/0/value: must occur only once" },
+    { R"({"revision":1,"full":true,"records":[
+       {"key":"a","revision":1,"deleted":true},
+       {"key":"a","revision":1,"deleted":true}]})",
+      "records/1/key: is already used" },
+    { std::string(100, '['), "line 1 column" },
+  };
+  for (const auto& [text, message] : rows) {
+    const auto answer = DecodePlatformAnswer(text);
+    ASSERT_FALSE(answer.has_value()) << text;
+    EXPECT_THAT(answer.error().mMessage, StartsWith(message));
+  }
+}
+
+// Guards against input that crashes or hangs an instance which reads it from
+// the platform; what is taken must survive its own encoding.
+RC_GTEST_PROP(PlatformCodec,
+              ChangedTextIsRefusedOrReadsBack,
+              (std::uint64_t aSeed))
+{
+  std::mt19937_64 random(aSeed);
+  for (int round = 0; round < 200; ++round) {
+    if (const auto answer = DecodePlatformAnswer(MutateText(kAnswer, random))) {
+      const auto encoded = EncodePlatformAnswer(answer.value());
+      const auto again = DecodePlatformAnswer(encoded);
+      RC_ASSERT(again.has_value());
+      RC_ASSERT(EncodePlatformAnswer(again.value()) == encoded);
+    }
+  }
+}
+
+} // namespace
+} // namespace sassafrasknot::protocol
