--- /dev/null
+++ b/src/sassafrasknot/state/configuration_store_test.cpp
@@ -0,0 +1,201 @@
+#include "sassafrasknot/state/configuration_store.hpp"
+#include "sassafrasknot/state/sample_documents.hpp"
+
+#include <algorithm>
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sassafrasknot::state {
+namespace {
+
+using namespace sample;
+
+using Records = std::vector<ConfigurationRecord>;
+
+Records
+Base()
+{
+  return { MakeTemplate(1), MakeOrganisation("a", 2, 1, { 1, 2 }) };
+}
+
+const OrganisationState&
+StateOf(const ConfigurationStore& aStore, const std::string& aName)
+{
+  return aStore.mOrganisations.at("organisations/" + aName);
+}
+
+Revision
+InForce(const ConfigurationStore& aStore, const std::string& aName)
+{
+  const auto& pair = StateOf(aStore, aName).mInForcePair;
+  return pair ? pair->mOrganisation.mRevision : 0;
+}
+
+std::vector<ConfigurationEntry>
+AllEntries(const ConfigurationStore& aStore)
+{
+  std::vector<ConfigurationEntry> entries;
+  for (const auto& [key, record] : aStore.mRecords) {
+    entries.push_back(*EntryOf(aStore, key));
+  }
+  return entries;
+}
+
+// Guards against a stale replica that takes back an accepted change.
+TEST(ConfigurationStore, KeepsNewerRecordWhenStaleReplicaAnswers)
+{
+  ConfigurationStore store;
+  MergeRecords(store, Base(), 5, std::nullopt);
+  MergeRecords(
+    store, Records{ MakeOrganisation("a", 9, 1, { 3 }) }, 9, Revision{ 5 });
+  MergeRecords(store, Base(), 5, std::nullopt);
+  EXPECT_EQ(InForce(store, "a"), 9);
+  EXPECT_EQ(store.mCompleteRevision, 9);
+}
+
+// Guards against deleted organisations that stay, and against a stale full
+// read that deletes a newer one.
+TEST(ConfigurationStore, FullReadDeletesOnlyKeysThatItWouldHold)
+{
+  ConfigurationStore store;
+  MergeRecords(store, Base(), 5, std::nullopt);
+  MergeRecords(
+    store, Records{ MakeOrganisation("b", 9, 2, { 4 }) }, 9, Revision{ 5 });
+  MergeRecords(store, Records{ MakeTemplate(1) }, 7, std::nullopt);
+  EXPECT_TRUE(store.mRecords.at("organisations/a").mDeleted);
+  EXPECT_EQ(InForce(store, "a"), 0);
+  EXPECT_EQ(InForce(store, "b"), 9);
+}
+
+// Guards against an invalid change that takes a service out of force, also on
+// an instance that starts after it.
+TEST(ConfigurationStore, InvalidChangeLeavesPreviousInForce)
+{
+  ConfigurationStore store;
+  MergeRecords(store, Base(), 5, std::nullopt);
+  const auto result =
+    MergeRecords(store, Records{ MakeInvalid("a", 6) }, 6, Revision{ 5 });
+  EXPECT_EQ(InForce(store, "a"), 2);
+  ASSERT_EQ(result.mRejected.size(), 1);
+  EXPECT_FALSE(result.mRejected[0].mReason.empty());
+
+  ConfigurationStore started;
+  MergeEntries(started, AllEntries(store));
+  EXPECT_EQ(InForce(started, "a"), 2);
+  EXPECT_EQ(MapHash(started), MapHash(store));
+}
+
+// Guards against a template change that breaks one organisation's services.
+TEST(ConfigurationStore, TemplateThatDoesNotFitLeavesPreviousInForce)
+{
+  ConfigurationStore store;
+  MergeRecords(store, Base(), 5, std::nullopt);
+  const auto other =
+    MakeRecord("templates/common", 6, TemplateDocument{ { "common" }, {} });
+  MergeRecords(store, Records{ other }, 6, Revision{ 5 });
+  EXPECT_EQ(InForce(store, "a"), 2);
+  EXPECT_EQ(StateOf(store, "a").mInForcePair->mTemplate.mRevision, 1);
+}
+
+// Guards against an organisation that takes another one's address, and against
+// an incumbent that loses its claim through a later change of its own.
+TEST(ConfigurationStore, EarlierClaimKeepsAddress)
+{
+  ConfigurationStore store;
+  MergeRecords(store, Base(), 2, std::nullopt);
+  MergeRecords(
+    store, Records{ MakeOrganisation("b", 3, 2, { 2 }) }, 3, Revision{ 2 });
+  EXPECT_EQ(InForce(store, "b"), 0);
+  MergeRecords(
+    store, Records{ MakeOrganisation("a", 4, 1, { 2, 5 }) }, 4, Revision{ 3 });
+  EXPECT_EQ(InForce(store, "a"), 4);
+  EXPECT_EQ(InForce(store, "b"), 0);
+
+  // An instance that reads only the latest records learns of the earlier claim.
+  ConfigurationStore started;
+  MergeRecords(started,
+               Records{ MakeTemplate(1),
+                        MakeOrganisation("a", 4, 1, { 2, 5 }),
+                        MakeOrganisation("b", 3, 2, { 2 }) },
+               4,
+               std::nullopt);
+  MergeEntries(started, AllEntries(store));
+  EXPECT_EQ(InForce(started, "a"), 4);
+  EXPECT_EQ(InForce(started, "b"), 0);
+
+  MergeRecords(
+    store, Records{ MakeOrganisation("a", 6, 1, { 5 }) }, 6, Revision{ 4 });
+  EXPECT_EQ(InForce(store, "b"), 3) << "the released address is free again";
+}
+
+Records
+AllChanges()
+{
+  return { MakeTemplate(1),
+           MakeOrganisation("a", 2, 1, { 1, 2 }),
+           MakeOrganisation("b", 3, 2, { 3 }),
+           MakeInvalid("a", 4),
+           MakeOrganisation("c", 5, 3, { 3, 4 }),
+           MakeTemplate(6, 9090),
+           MakeOrganisation("a", 7, 1, { 2, 5 }),
+           MakeTombstone("organisations/b", 8),
+           MakeOrganisation("b", 9, 2, { 6 }),
+           MakeInvalid("c", 10),
+           MakeTemplate(11) };
+}
+
+// Guards against stores that differ for good, or go back, because changes
+// reached them in another order, repeatedly or not at all.
+RC_GTEST_PROP(ConfigurationStore, AllOrdersOfMergesEndEqual, ())
+{
+  const auto changes = AllChanges();
+  const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+  std::mt19937 random(seed);
+  std::array<ConfigurationStore, 3> stores;
+  std::array<std::map<std::string, Revision>, 3> seen;
+  const auto check = [&](std::size_t aIndex) {
+    for (const auto& [key, record] : stores.at(aIndex).mRecords) {
+      RC_ASSERT(record.mRevision >= seen.at(aIndex)[key]);
+      seen.at(aIndex)[key] = record.mRevision;
+    }
+  };
+  for (int step = 0; step < 40; ++step) {
+    const auto index = random() % stores.size();
+    if (random() % 4 == 0) {
+      MergeEntries(stores.at(index),
+                   AllEntries(stores.at(random() % stores.size())));
+    } else {
+      MergeRecords(stores.at(index),
+                   Records{ changes.at(random() % changes.size()) },
+                   0,
+                   Revision{ 0 });
+    }
+    check(index);
+  }
+  // Each change reached some store; then all exchange what they know.
+  for (std::size_t index = 0; index < changes.size(); ++index) {
+    MergeRecords(stores.at(index % stores.size()),
+                 Records{ changes[index] },
+                 0,
+                 Revision{ 0 });
+  }
+  for (int round = 0; round < 4; ++round) {
+    for (auto& target : stores) {
+      for (const auto& source : stores) {
+        MergeEntries(target, AllEntries(source));
+      }
+    }
+  }
+  for (std::size_t index = 0; index < stores.size(); ++index) {
+    check(index);
+    RC_ASSERT(MapHash(stores.at(index)) == MapHash(stores[0]));
+    for (const auto* name : { "a", "b", "c" }) {
+      RC_ASSERT(InForce(stores.at(index), name) == InForce(stores[0], name));
+    }
+  }
+}
+
+} // namespace
+} // namespace sassafrasknot::state
