--- a/src/sassafrasknot/coordination/shard_placement.cpp
+++ b/src/sassafrasknot/coordination/shard_placement.cpp
@@ -151,6 +151,26 @@
   return Refused{ aRequest.mFlow, RefusalReason::NoUpstream };
 }
 
+ShardLoad
+LoadOf(const Shard& aShard)
+{
+  const auto& sums = aShard.mAccounting.mSums;
+  return { sums.mConnections,
+           sums.mConnectionsUsed,
+           sums.mFreeSlots,
+           static_cast<std::uint32_t>(aShard.mQueue.mPositions.size()) };
+}
+
+std::optional<std::uint64_t>
+OldestQueued(const Shard& aShard)
+{
+  const auto& work = Lane(aShard.mQueue, QueueLane::Work);
+  if (work.empty()) {
+    return std::nullopt;
+  }
+  return work.begin()->second.mFlow;
+}
+
 void
 CancelQueued(Shard& aShard, std::uint64_t aFlow)
 {
