--- /dev/null
+++ b/src/sassafrasknot/protocol/settings_value.cpp
@@ -0,0 +1,296 @@
+#include "settings_value.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+namespace sassafrasknot::protocol {
+namespace {
+
+struct Unit
+{
+  std::string_view mName;
+  std::uint64_t mFactor = 1;
+};
+
+constexpr std::array kTimeUnits{ Unit{ "ms", 1 },
+                                 Unit{ "s", 1000 },
+                                 Unit{ "min", 60000 } };
+constexpr std::array kSizeUnits{ Unit{ "KiB", 1U << 10U },
+                                 Unit{ "MiB", 1U << 20U } };
+constexpr std::array<std::pair<std::string_view, LogThreshold>, 3> kThresholds{
+  { { "info", LogThreshold::Info },
+    { "warning", LogThreshold::Warning },
+    { "error", LogThreshold::Error } }
+};
+
+std::string_view
+Trim(std::string_view aText)
+{
+  const auto first = aText.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
+}
+
+struct Range
+{
+  std::uint64_t mLowest = 0;
+  std::uint64_t mHighest = 0;
+};
+
+/// Reads a number with one of the units; without units, none may follow.
+bool
+ReadNumber(std::string_view aText,
+           std::span<const Unit> aUnits,
+           Range aRange,
+           std::uint64_t& aValue)
+{
+  std::uint64_t number = 0;
+  const auto* const end = aText.data() + aText.size();
+  const auto [stop, failure] = std::from_chars(aText.data(), end, number);
+  if (failure != std::errc{}) {
+    return false;
+  }
+  const auto rest = Trim({ stop, static_cast<std::size_t>(end - stop) });
+  std::uint64_t factor = 1;
+  if (!aUnits.empty()) {
+    const auto unit = std::ranges::find(aUnits, rest, &Unit::mName);
+    if (unit == aUnits.end()) {
+      return false;
+    }
+    factor = unit->mFactor;
+  } else if (!rest.empty()) {
+    return false;
+  }
+  if (number > aRange.mHighest / factor || number * factor < aRange.mLowest) {
+    return false;
+  }
+  aValue = number * factor;
+  return true;
+}
+
+/// Writes a value with the largest unit that divides it.
+std::string
+PrintNumber(std::uint64_t aValue, std::span<const Unit> aUnits)
+{
+  const auto fits = [&](const Unit& aUnit) {
+    return aValue % aUnit.mFactor == 0;
+  };
+  const auto unit = std::find_if(aUnits.rbegin(), aUnits.rend(), fits);
+  if (unit == aUnits.rend()) {
+    return std::to_string(aValue);
+  }
+  return std::to_string(aValue / unit->mFactor) + ' ' +
+         std::string(unit->mName);
+}
+
+SettingsRule
+NumberRule(std::string_view aSection,
+           std::string_view aKey,
+           std::string_view aAllowed,
+           std::span<const Unit> aUnits,
+           Range aRange,
+           std::uint64_t Settings::*aMember)
+{
+  return { aSection,
+           aKey,
+           aAllowed,
+           false,
+           [=](Settings& aSettings, std::string_view aText) {
+             return ReadNumber(aText, aUnits, aRange, aSettings.*aMember);
+           },
+           [=](const Settings& aSettings) {
+             return PrintNumber(aSettings.*aMember, aUnits);
+           } };
+}
+
+SettingsRule
+EndpointRule(std::string_view aSection,
+             std::string_view aKey,
+             state::Endpoint Settings::*aMember)
+{
+  return { aSection,
+           aKey,
+           kEndpointAllowed,
+           true,
+           [=](Settings& aSettings, std::string_view aText) {
+             const auto endpoint = ReadSettingsEndpoint(aText);
+             aSettings.*aMember = endpoint.value_or(state::Endpoint{});
+             return endpoint.has_value();
+           },
+           [=](const Settings& aSettings) {
+             return state::ToString(aSettings.*aMember);
+           } };
+}
+
+template<typename Id>
+SettingsRule
+NameRule(std::string_view aSection,
+         std::string_view aKey,
+         Id Settings::*aMember)
+{
+  return { aSection,
+           aKey,
+           kNameAllowed,
+           true,
+           [=](Settings& aSettings, std::string_view aText) {
+             (aSettings.*aMember).mValue = std::string(aText);
+             return IsSettingsName(aText);
+           },
+           [=](const Settings& aSettings) {
+             return (aSettings.*aMember).mValue;
+           } };
+}
+
+bool
+SetPlatformEndpoints(Settings& aSettings, std::string_view aText)
+{
+  auto& endpoints = aSettings.mPlatformEndpoints;
+  endpoints.clear();
+  for (std::size_t start = 0; start <= aText.size();) {
+    const auto comma = std::min(aText.find(',', start), aText.size());
+    const auto endpoint =
+      ReadSettingsEndpoint(Trim(aText.substr(start, comma - start)));
+    if (!endpoint ||
+        std::ranges::find(endpoints, *endpoint) != endpoints.end()) {
+      return false;
+    }
+    endpoints.push_back(*endpoint);
+    start = comma + 1;
+  }
+  return endpoints.size() <= 8;
+}
+
+std::string
+PrintPlatformEndpoints(const Settings& aSettings)
+{
+  std::string text;
+  for (const auto& endpoint : aSettings.mPlatformEndpoints) {
+    text += (text.empty() ? "" : ", ") + state::ToString(endpoint);
+  }
+  return text;
+}
+
+bool
+SetStopBound(Settings& aSettings, std::string_view aText)
+{
+  std::uint64_t value = 0;
+  if (!ReadNumber(aText, kTimeUnits, { 1000, 60000 }, value)) {
+    return false;
+  }
+  aSettings.mStopBound = std::chrono::milliseconds(value);
+  return true;
+}
+
+std::string
+PrintStopBound(const Settings& aSettings)
+{
+  return PrintNumber(static_cast<std::uint64_t>(aSettings.mStopBound.count()),
+                     kTimeUnits);
+}
+
+bool
+SetLogThreshold(Settings& aSettings, std::string_view aText)
+{
+  for (const auto& [name, threshold] : kThresholds) {
+    if (name == aText) {
+      aSettings.mLogThreshold = threshold;
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string
+PrintLogThreshold(const Settings& aSettings)
+{
+  for (const auto& [name, threshold] : kThresholds) {
+    if (threshold == aSettings.mLogThreshold) {
+      return std::string(name);
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+std::span<const SettingsRule>
+SettingsRules()
+{
+  static const std::vector<SettingsRule> sRules{
+    NameRule("instance", "name", &Settings::mInstance),
+    NameRule("instance", "data_centre", &Settings::mDataCentre),
+    EndpointRule("listen", "packets", &Settings::mPeerEndpoint),
+    EndpointRule("listen", "control", &Settings::mControlEndpoint),
+    EndpointRule("fabric", "endpoint", &Settings::mFabricEndpoint),
+    { "platform",
+      "endpoints",
+      "1 to 8 different ADDRESS:PORT, separated by commas",
+      true,
+      SetPlatformEndpoints,
+      PrintPlatformEndpoints },
+    NumberRule("traffic",
+               "threads",
+               "a number of threads, 1 to 64",
+               {},
+               { 1, 64 },
+               &Settings::mTrafficThreads),
+    NumberRule("traffic",
+               "held_packets",
+               "a number of packets per thread, 1 to 1000000",
+               {},
+               { 1, 1000000 },
+               &Settings::mHeldPackets),
+    NumberRule("traffic",
+               "receive_buffer",
+               "a size with its unit, 64 KiB to 64 MiB",
+               kSizeUnits,
+               { std::uint64_t{ 64 } << 10U, std::uint64_t{ 64 } << 20U },
+               &Settings::mReceiveBuffer),
+    { "stop",
+      "bound",
+      "a time with its unit (ms, s, min), 1 s to 60 s",
+      false,
+      SetStopBound,
+      PrintStopBound },
+    { "log",
+      "level",
+      "info, warning or error",
+      false,
+      SetLogThreshold,
+      PrintLogThreshold },
+    NumberRule("log",
+               "lines_per_second",
+               "lines of one event per second, 1 to 1000",
+               {},
+               { 1, 1000 },
+               &Settings::mLogLinesPerSecond),
+  };
+  return sRules;
+}
+
+bool
+IsSettingsName(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= 64 &&
+         std::ranges::all_of(aText, [](unsigned char aCharacter) {
+           return std::isalnum(aCharacter) != 0 || aCharacter == '.' ||
+                  aCharacter == '_' || aCharacter == '-';
+         });
+}
+
+std::optional<state::Endpoint>
+ReadSettingsEndpoint(std::string_view aText)
+{
+  const auto endpoint = state::ParseEndpoint(aText);
+  if (!endpoint || endpoint.value().mAddress.mValue == 0) {
+    return std::nullopt;
+  }
+  return endpoint.value();
+}
+
+} // namespace sassafrasknot::protocol
