--- /dev/null
+++ b/include/sassafrasknot/transport/udp_session.hpp
@@ -0,0 +1,77 @@
+#ifndef SASSAFRASKNOT_TRANSPORT_UDP_SESSION_HPP
+#define SASSAFRASKNOT_TRANSPORT_UDP_SESSION_HPP
+
+#include "sassafrasknot/state/endpoint.hpp"
+#include "sassafrasknot/state/error.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+/// @brief Sockets, gRPC, timers, threads and logs.
+namespace sassafrasknot::transport {
+
+/// @brief A UDP socket that receives for one thread. It stays alive while a
+/// receive is pending.
+class UdpSession : public std::enable_shared_from_this<UdpSession>
+{
+public:
+  /// @brief Takes one datagram; the bytes may be changed and are valid during
+  /// the call only.
+  using Handler = std::function<void(std::span<std::uint8_t>)>;
+
+  struct Options
+  {
+    state::Endpoint mLocal;
+    /// Whether other sockets of this process share the endpoint; the kernel
+    /// then spreads datagrams by their source.
+    bool mSharePort = false;
+    /// In bytes.
+    std::size_t mReceiveBuffer = std::size_t{ 4 } << 20U;
+  };
+
+  /// @brief Opens and binds a socket.
+  /// @param aContext runs its handler
+  /// @param aOptions endpoint and options
+  /// @return the session, or Unavailable with the endpoint and the cause
+  static state::Result<std::shared_ptr<UdpSession>> Open(
+    boost::asio::io_context& aContext,
+    const Options& aOptions);
+
+  explicit UdpSession(boost::asio::io_context& aContext);
+
+  /// @brief Starts receiving.
+  /// @param aHandler is called on the context's thread until Close
+  void Start(Handler aHandler);
+
+  /// @brief Sends a datagram without waiting.
+  /// @param aTo receiver
+  /// @param aDatagram the datagram
+  /// @return false if the kernel did not take it
+  bool Send(const state::Endpoint& aTo,
+            std::span<const std::uint8_t> aDatagram);
+
+  /// @brief Stops receiving. To be called on the context's thread.
+  void Close();
+
+  /// @brief Returns the bound endpoint.
+  state::Endpoint Local() const;
+
+private:
+  void Wait();
+  void ReceiveReady();
+
+  boost::asio::ip::udp::socket mSocket;
+  Handler mHandler;
+  std::vector<std::uint8_t> mBuffer;
+};
+
+} // namespace sassafrasknot::transport
+
+#endif
--- a/src/sassafrasknot/protocol/settings.cpp
+++ b/src/sassafrasknot/protocol/settings.cpp
@@ -1,7 +1,6 @@
 #include "sassafrasknot/protocol/settings.hpp"
 
 #include <algorithm>
-#include <cctype>
 #include <cstring>
 #include <fstream>
 #include <iterator>
@@ -105,7 +104,7 @@
                std::to_string(known->second.mLine) + " already; allowed: once");
   } else if (section.starts_with(kSeedPrefix)) {
     const auto name = section.substr(kSeedPrefix.size());
-    if (!IsSettingsName(name)) {
+    if (!IsName(name)) {
       AddFault(aReading,
                aReading.mLine,
                '[' + section + "]: bad name of a seed peer; allowed: " +
--- a/src/sassafrasknot/protocol/settings_value.cpp
+++ b/src/sassafrasknot/protocol/settings_value.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -139,7 +138,7 @@
            true,
            [=](Settings& aSettings, std::string_view aText) {
              (aSettings.*aMember).mValue = std::string(aText);
-             return IsSettingsName(aText);
+             return IsName(aText);
            },
            [=](const Settings& aSettings) {
              return (aSettings.*aMember).mValue;
@@ -273,16 +272,6 @@
   return sRules;
 }
 
-bool
-IsSettingsName(std::string_view aText)
-{
-  return !aText.empty() && aText.size() <= 64 &&
-         std::ranges::all_of(aText, [](unsigned char aCharacter) {
-           return std::isalnum(aCharacter) != 0 || aCharacter == '.' ||
-                  aCharacter == '_' || aCharacter == '-';
-         });
-}
-
 std::optional<state::Endpoint>
 ReadSettingsEndpoint(std::string_view aText)
 {
--- a/src/sassafrasknot/protocol/settings_value.hpp
+++ b/src/sassafrasknot/protocol/settings_value.hpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "name.hpp"
+
 namespace sassafrasknot::protocol {
 
 /// A key of the settings: how it is read, written and described.
@@ -26,8 +28,6 @@
 
 /// Section of a seed peer, before its name.
 constexpr std::string_view kSeedPrefix = "seed ";
-constexpr std::string_view kNameAllowed =
-  "1 to 64 letters, digits, '.', '_' and '-'";
 constexpr std::string_view kEndpointAllowed =
   "ADDRESS:PORT, such as 127.0.0.1:7000";
 
@@ -35,9 +35,6 @@
 std::span<const SettingsRule>
 SettingsRules();
 
-bool
-IsSettingsName(std::string_view aText);
-
 /// Reads an endpoint that other processes can use, so not 0.0.0.0.
 std::optional<state::Endpoint>
 ReadSettingsEndpoint(std::string_view aText);
--- /dev/null
+++ b/src/sassafrasknot/transport/traffic_pool.cpp
@@ -0,0 +1,216 @@
+#include "sassafrasknot/transport/traffic_pool.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "traffic_worker.hpp"
+#include <boost/asio/post.hpp>
+
+namespace sassafrasknot::transport {
+namespace {
+
+/// Calls back once all threads have answered.
+struct TakeOverCall
+{
+  std::atomic<std::size_t> mPending{ 0 };
+  std::atomic<bool> mAcknowledged{ true };
+  std::function<void(bool)> mDone;
+
+  void Answer(bool aAcknowledged)
+  {
+    if (!aAcknowledged) {
+      mAcknowledged = false;
+    }
+    if (--mPending == 0) {
+      mDone(mAcknowledged);
+    }
+  }
+};
+
+struct CollectCall
+{
+  std::mutex mMutex;
+  std::size_t mPending = 0;
+  TrafficReport mReport;
+  std::function<void(TrafficReport)> mDone;
+};
+
+/// Refuses an endpoint that another process has: sockets that share a port
+/// would take part of its datagrams silently.
+state::Result<void>
+CheckUnused(const TrafficOptions& aOptions)
+{
+  boost::asio::io_context context;
+  if (auto probe = UdpSession::Open(context, { aOptions.mListen, false });
+      !probe) {
+    return probe.error();
+  }
+  return boost::outcome_v2::success();
+}
+
+} // namespace
+
+struct TrafficPool::Impl
+{
+  TrafficShared mShared;
+  std::vector<std::thread> mThreads;
+
+  ~Impl()
+  {
+    for (const auto& worker : mShared.mWorkers) {
+      worker->Stop();
+    }
+    for (auto& thread : mThreads) {
+      thread.join();
+    }
+  }
+};
+
+TrafficPool::TrafficPool(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+TrafficPool::~TrafficPool() = default;
+
+state::Result<std::unique_ptr<TrafficPool>>
+TrafficPool::Start(const TrafficOptions& aOptions,
+                   TrafficHooks aHooks,
+                   std::shared_ptr<const state::Snapshot> aSnapshot)
+{
+  if (auto unused = CheckUnused(aOptions); !unused) {
+    return unused.error();
+  }
+  auto impl = std::make_unique<Impl>();
+  auto& shared = impl->mShared;
+  shared.mOptions = aOptions;
+  shared.mHooks = std::move(aHooks);
+  shared.mSequence = aSnapshot->mSequence;
+  shared.mRoutes = MakeTrafficRoutes(std::move(aSnapshot), aOptions.mThreads);
+  shared.mHeartbeat = TrafficNow().time_since_epoch().count();
+  for (std::size_t index = 0; index < aOptions.mThreads; ++index) {
+    auto worker = std::make_shared<TrafficWorker>(shared, index);
+    if (auto opened = worker->Open(); !opened) {
+      return opened.error();
+    }
+    shared.mWorkers.push_back(std::move(worker));
+  }
+  for (const auto& worker : shared.mWorkers) {
+    impl->mThreads.emplace_back([worker] { worker->Run(); });
+  }
+  return std::unique_ptr<TrafficPool>(new TrafficPool(std::move(impl)));
+}
+
+void
+TrafficPool::Publish(std::shared_ptr<const state::Snapshot> aSnapshot)
+{
+  auto& shared = mImpl->mShared;
+  const auto sequence = aSnapshot->mSequence;
+  shared.mRoutes =
+    MakeTrafficRoutes(std::move(aSnapshot), shared.mOptions.mThreads);
+  shared.mSequence.store(sequence, std::memory_order_release);
+}
+
+void
+TrafficPool::Heartbeat()
+{
+  mImpl->mShared.mHeartbeat.store(TrafficNow().time_since_epoch().count(),
+                                  std::memory_order_release);
+}
+
+void
+TrafficPool::SendControl(const state::Endpoint& aTo,
+                         const coordination::ControlMessage& aMessage)
+{
+  auto worker = mImpl->mShared.mWorkers.front();
+  worker->Post([worker, aTo, aMessage] { worker->SendControl(aTo, aMessage); });
+}
+
+void
+TrafficPool::TakeOver(const state::InstanceId& aFrom,
+                      const coordination::HandoverBatch& aBatch,
+                      std::function<void(bool)> aDone)
+{
+  auto& shared = mImpl->mShared;
+  const auto routes = shared.mRoutes.load();
+  std::vector<coordination::HandoverBatch> parts(
+    shared.mWorkers.size(), { aBatch.mBatch, aBatch.mLast, {} });
+  for (const auto& record : aBatch.mRecords) {
+    parts[ThreadOf(*routes, record.mKey)].mRecords.push_back(record);
+  }
+  // Every thread learns of the last batch; otherwise only those with records.
+  const auto concerned = [&](const coordination::HandoverBatch& aPart) {
+    return aPart.mLast || !aPart.mRecords.empty();
+  };
+  auto call = std::make_shared<TakeOverCall>();
+  call->mDone = std::move(aDone);
+  call->mPending =
+    static_cast<std::size_t>(std::ranges::count_if(parts, concerned));
+  if (call->mPending == 0) {
+    call->mDone(true);
+    return;
+  }
+  for (std::size_t thread = 0; thread < parts.size(); ++thread) {
+    if (concerned(parts[thread])) {
+      auto worker = shared.mWorkers[thread];
+      worker->Post([worker, call, aFrom, part = std::move(parts[thread])] {
+        call->Answer(worker->TakeOver(aFrom, part));
+      });
+    }
+  }
+}
+
+void
+TrafficPool::OnAcknowledgement(
+  std::size_t aThread,
+  const state::InstanceId& aFrom,
+  const coordination::HandoverAcknowledgement& aAcknowledgement)
+{
+  auto worker = mImpl->mShared.mWorkers[aThread];
+  worker->Post([worker, aFrom, aAcknowledgement] {
+    worker->OnPeerMessage(aFrom, aAcknowledgement);
+  });
+}
+
+void
+TrafficPool::Collect(std::function<void(TrafficReport)> aDone)
+{
+  const auto& workers = mImpl->mShared.mWorkers;
+  auto call = std::make_shared<CollectCall>();
+  call->mPending = workers.size();
+  call->mReport.mThreads.resize(workers.size());
+  call->mDone = std::move(aDone);
+  for (std::size_t index = 0; index < workers.size(); ++index) {
+    const auto& worker = workers[index];
+    worker->Post([worker, call, index] {
+      auto status = worker->Status();
+      const auto counters = worker->Counters();
+      std::unique_lock lock(call->mMutex);
+      call->mReport.mThreads[index] = std::move(status);
+      state::Merge(call->mReport.mCounters, counters);
+      if (--call->mPending == 0) {
+        lock.unlock();
+        call->mDone(std::move(call->mReport));
+      }
+    });
+  }
+}
+
+bool
+TrafficPool::HandedOver() const
+{
+  return std::ranges::all_of(mImpl->mShared.mWorkers, [](const auto& aWorker) {
+    return aWorker->HandedOver();
+  });
+}
+
+state::Endpoint
+TrafficPool::Local() const
+{
+  return mImpl->mShared.mWorkers.front()->Local();
+}
+
+} // namespace sassafrasknot::transport
--- /dev/null
+++ b/src/sassafrasknot/transport/traffic_worker.cpp
@@ -0,0 +1,315 @@
+#include "traffic_worker.hpp"
+
+#include "sassafrasknot/state/hashing.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace sassafrasknot::transport {
+namespace {
+
+constexpr std::chrono::milliseconds kTick{ 10 };
+
+using coordination::TrafficMessage;
+
+/// Gives a message to the workers of its flows.
+struct MessageSplitter
+{
+  TrafficShared& mShared;
+  const TrafficRoutes& mRoutes;
+  const state::InstanceId& mFrom;
+
+  void Give(std::size_t aThread, TrafficMessage aMessage) const
+  {
+    auto worker = mShared.mWorkers[aThread];
+    worker->Post([worker, from = mFrom, message = std::move(aMessage)] {
+      worker->OnPeerMessage(from, message);
+    });
+  }
+
+  /// Gives each worker the elements of its flows.
+  template<typename Message, typename Element>
+  void Split(const Message& aMessage,
+             std::vector<Element> Message::*aElements) const
+  {
+    std::vector<Message> parts(mShared.mWorkers.size());
+    for (const auto& element : aMessage.*aElements) {
+      (parts[ThreadOf(mRoutes, element.mKey)].*aElements).push_back(element);
+    }
+    for (std::size_t thread = 0; thread < parts.size(); ++thread) {
+      if (!(parts[thread].*aElements).empty()) {
+        Give(thread, std::move(parts[thread]));
+      }
+    }
+  }
+
+  void operator()(const coordination::AnswerReports& aMessage) const
+  {
+    Split(aMessage, &coordination::AnswerReports::mReports);
+  }
+  void operator()(const coordination::FlowCopies& aMessage) const
+  {
+    Split(aMessage, &coordination::FlowCopies::mRecords);
+  }
+  void operator()(const coordination::FlowLookup& aMessage) const
+  {
+    Give(ThreadOf(mRoutes, aMessage.mKey), aMessage);
+  }
+  void operator()(const coordination::ReportRequest& aMessage) const
+  {
+    for (std::size_t thread = 0; thread < mShared.mWorkers.size(); ++thread) {
+      Give(thread, aMessage);
+    }
+  }
+  // Batches and their answers travel over gRPC only, where an answer goes to
+  // the thread that sent the batch.
+  void operator()(const coordination::HandoverBatch& /*aMessage*/) const {}
+  void operator()(
+    const coordination::HandoverAcknowledgement& /*aMessage*/) const
+  {
+  }
+};
+
+} // namespace
+
+state::TimePoint
+TrafficNow()
+{
+  return std::chrono::time_point_cast<state::Duration>(
+    std::chrono::steady_clock::now());
+}
+
+TrafficWorker::TrafficWorker(TrafficShared& aShared, std::size_t aIndex)
+  : mShared(aShared)
+  , mIndex(aIndex)
+  , mRoutes(aShared.mRoutes.load())
+  , mCore(mRoutes->mSnapshot,
+          state::CombineHashes(aShared.mOptions.mSeed, aIndex))
+  , mHeld(aShared.mOptions.mHeldPackets)
+{
+}
+
+state::Result<void>
+TrafficWorker::Open()
+{
+  const auto& options = mShared.mOptions;
+  auto session = UdpSession::Open(
+    mContext,
+    { options.mListen, options.mThreads > 1, options.mReceiveBuffer });
+  if (!session) {
+    return session.error();
+  }
+  mSession = std::move(session).value();
+  return boost::outcome_v2::success();
+}
+
+void
+TrafficWorker::Run()
+{
+  mSession->Start(
+    [this](std::span<std::uint8_t> aDatagram) { OnDatagram(aDatagram); });
+  ScheduleTick();
+  mContext.run();
+}
+
+void
+TrafficWorker::Stop()
+{
+  mContext.stop();
+}
+
+void
+TrafficWorker::ScheduleTick()
+{
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](auto aFailure) {
+    if (aFailure) {
+      return;
+    }
+    if (!Stalled()) {
+      Refresh();
+      auto actions = mCore.OnTick(TrafficNow());
+      Execute(actions, nullptr);
+      mHandedOver = mCore.HandedOver();
+    }
+    ScheduleTick();
+  });
+}
+
+void
+TrafficWorker::Refresh()
+{
+  if (mShared.mSequence.load(std::memory_order_acquire) ==
+      mRoutes->mSnapshot->mSequence) {
+    return;
+  }
+  mRoutes = mShared.mRoutes.load();
+  auto actions = mCore.OnSnapshot(TrafficNow(), mRoutes->mSnapshot);
+  Execute(actions, nullptr);
+}
+
+bool
+TrafficWorker::Stalled() const
+{
+  const auto limit = mShared.mOptions.mStallLimit;
+  if (limit == state::Duration{}) {
+    return false;
+  }
+  const state::TimePoint last{ state::Duration{
+    mShared.mHeartbeat.load(std::memory_order_acquire) } };
+  return TrafficNow() - last > limit;
+}
+
+void
+TrafficWorker::OnDatagram(std::span<std::uint8_t> aDatagram)
+{
+  // After a pause of the process, queued packets must not be handled with the
+  // state from before it; the heartbeat resumes once the control core has
+  // published that this instance distrusts itself.
+  if (protocol::IsPeerMessage(aDatagram)) {
+    OnPeerDatagram(aDatagram);
+  } else if (Stalled()) {
+    Count("packets_dropped_stalled_total");
+  } else {
+    Refresh();
+    Count("packets_received_total");
+    OnPacket(aDatagram, {});
+  }
+}
+
+void
+TrafficWorker::OnPeerDatagram(std::span<const std::uint8_t> aDatagram)
+{
+  auto decoded = protocol::DecodePeerMessage(aDatagram);
+  if (!decoded) {
+    Count(decoded.error().mMessage);
+    return;
+  }
+  auto& message = decoded.value();
+  // Control messages pass, as they may end the stall.
+  if (auto* control = std::get_if<coordination::ControlMessage>(&message)) {
+    if (mShared.mHooks.mOnControlMessage) {
+      mShared.mHooks.mOnControlMessage(std::move(*control));
+    }
+    return;
+  }
+  if (Stalled()) {
+    Count("packets_dropped_stalled_total");
+    return;
+  }
+  Refresh();
+  if (auto* forwarded = std::get_if<protocol::ForwardedPacket>(&message)) {
+    Count("packets_received_forwarded_total");
+    OnPacket(forwarded->mPacket, std::move(forwarded->mHops));
+  } else {
+    Count("peer_messages_received_total");
+    const auto& envelope = std::get<protocol::TrafficEnvelope>(message);
+    std::visit(MessageSplitter{ mShared, *mRoutes, envelope.mSender },
+               envelope.mMessage);
+  }
+}
+
+void
+TrafficWorker::OnPacket(std::span<std::uint8_t> aBytes,
+                        std::vector<state::InstanceId> aHops)
+{
+  const auto view = protocol::ParsePacket(aBytes);
+  if (!view) {
+    Count(view.error().mMessage);
+    return;
+  }
+  const auto routed = RoutePacket(*mRoutes, view.value());
+  if (!routed) {
+    Count(routed.error().mMessage);
+    return;
+  }
+  coordination::PacketEvent event{ routed.value().mFlow, std::move(aHops) };
+  if (routed.value().mThread == mIndex) {
+    Decide({ aBytes, event });
+    return;
+  }
+  auto worker = mShared.mWorkers[routed.value().mThread];
+  worker->Post([worker,
+                bytes = protocol::Bytes(aBytes.begin(), aBytes.end()),
+                event = std::move(event)]() mutable {
+    worker->Refresh();
+    worker->Decide({ bytes, std::move(event) });
+  });
+}
+
+void
+TrafficWorker::Decide(const WorkerPacket& aPacket)
+{
+  auto actions = mCore.OnPacket(TrafficNow(), aPacket.mEvent);
+  Execute(actions, &aPacket);
+}
+
+void
+TrafficWorker::OnPeerMessage(const state::InstanceId& aFrom,
+                             const TrafficMessage& aMessage)
+{
+  Refresh();
+  auto actions = mCore.OnPeerMessage(TrafficNow(), aFrom, aMessage);
+  Execute(actions, nullptr);
+}
+
+bool
+TrafficWorker::TakeOver(const state::InstanceId& aFrom,
+                        const coordination::HandoverBatch& aBatch)
+{
+  if (Stalled()) {
+    return false;
+  }
+  Refresh();
+  auto actions = mCore.OnPeerMessage(TrafficNow(), aFrom, aBatch);
+  // The acknowledgement is the answer of the gRPC call.
+  const auto removed = std::erase_if(actions, [&](const auto& aAction) {
+    const auto* sent = std::get_if<coordination::SendPeer>(&aAction);
+    const auto* answer =
+      sent == nullptr
+        ? nullptr
+        : std::get_if<coordination::HandoverAcknowledgement>(&sent->mMessage);
+    return answer != nullptr && answer->mBatch == aBatch.mBatch;
+  });
+  Execute(actions, nullptr);
+  return removed > 0;
+}
+
+void
+TrafficWorker::SendControl(const state::Endpoint& aTo,
+                           const coordination::ControlMessage& aMessage)
+{
+  Send(aTo, protocol::EncodePeerMessage(aMessage));
+}
+
+coordination::TrafficStatus
+TrafficWorker::Status() const
+{
+  return mCore.Status(TrafficNow());
+}
+
+state::Counters
+TrafficWorker::Counters() const
+{
+  auto counters = mCounters;
+  state::Merge(counters, mCore.Counters());
+  return counters;
+}
+
+void
+TrafficWorker::Send(const state::Endpoint& aTo,
+                    std::span<const std::uint8_t> aBytes)
+{
+  if (!mSession->Send(aTo, aBytes)) {
+    Count("datagrams_dropped_send_total");
+  }
+}
+
+void
+TrafficWorker::Count(std::string_view aCounter)
+{
+  state::Increment(mCounters, aCounter);
+}
+
+} // namespace sassafrasknot::transport
--- /dev/null
+++ b/src/sassafrasknot/transport/udp_session.cpp
@@ -0,0 +1,131 @@
+#include "sassafrasknot/transport/udp_session.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <sys/socket.h>
+
+namespace sassafrasknot::transport {
+namespace {
+
+using boost::asio::ip::udp;
+using ReusePort =
+  boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+/// Largest UDP datagram over IPv4, rounded up.
+constexpr std::size_t kLargestDatagram = 65536;
+/// Datagrams that are handled before timers get their turn.
+constexpr int kDatagramsPerTurn = 64;
+
+udp::endpoint
+ToAsio(const state::Endpoint& aEndpoint)
+{
+  return { boost::asio::ip::address_v4(aEndpoint.mAddress.mValue),
+           aEndpoint.mPort };
+}
+
+} // namespace
+
+UdpSession::UdpSession(boost::asio::io_context& aContext)
+  : mSocket(aContext)
+  , mBuffer(kLargestDatagram)
+{
+}
+
+state::Result<std::shared_ptr<UdpSession>>
+UdpSession::Open(boost::asio::io_context& aContext, const Options& aOptions)
+{
+  auto session = std::make_shared<UdpSession>(aContext);
+  auto& socket = session->mSocket;
+  boost::system::error_code failure;
+  socket.open(udp::v4(), failure);
+  if (!failure && aOptions.mSharePort) {
+    socket.set_option(ReusePort(true), failure);
+  }
+  if (!failure) {
+    socket.bind(ToAsio(aOptions.mLocal), failure);
+  }
+  if (!failure) {
+    socket.non_blocking(true, failure);
+  }
+  if (failure) {
+    return state::Error{ state::ErrorCode::Unavailable,
+                         state::Verdict::NotRun,
+                         "cannot listen on UDP " +
+                           state::ToString(aOptions.mLocal) + ": " +
+                           failure.message() };
+  }
+  // The kernel may grant less than was asked for.
+  socket.set_option(
+    udp::socket::receive_buffer_size(static_cast<int>(aOptions.mReceiveBuffer)),
+    failure);
+  return session;
+}
+
+void
+UdpSession::Start(Handler aHandler)
+{
+  mHandler = std::move(aHandler);
+  Wait();
+}
+
+bool
+UdpSession::Send(const state::Endpoint& aTo,
+                 std::span<const std::uint8_t> aDatagram)
+{
+  boost::system::error_code failure;
+  mSocket.send_to(boost::asio::buffer(aDatagram.data(), aDatagram.size()),
+                  ToAsio(aTo),
+                  0,
+                  failure);
+  return !failure;
+}
+
+void
+UdpSession::Close()
+{
+  boost::system::error_code failure;
+  mSocket.close(failure);
+  mHandler = nullptr;
+}
+
+state::Endpoint
+UdpSession::Local() const
+{
+  boost::system::error_code failure;
+  const auto endpoint = mSocket.local_endpoint(failure);
+  if (failure) {
+    return {};
+  }
+  return { { endpoint.address().to_v4().to_uint() }, endpoint.port() };
+}
+
+void
+UdpSession::Wait()
+{
+  mSocket.async_wait(udp::socket::wait_read,
+                     [self = shared_from_this()](auto aFailure) {
+                       if (!aFailure && self->mHandler) {
+                         self->ReceiveReady();
+                       }
+                     });
+}
+
+void
+UdpSession::ReceiveReady()
+{
+  for (int count = 0; count < kDatagramsPerTurn && mHandler; ++count) {
+    boost::system::error_code failure;
+    const auto size = mSocket.receive(boost::asio::buffer(mBuffer), 0, failure);
+    if (failure) {
+      break;
+    }
+    mHandler(std::span(mBuffer).first(size));
+  }
+  if (mHandler) {
+    Wait();
+  }
+}
+
+} // namespace sassafrasknot::transport
