Settle look-ups by the candidates that do not know the flow

Change: data for a queued or opening flow starts a look-up; queued flows whose first shard moved are forgotten; look-ups ask the owners of the candidates' shards and instances with a pointer; the last candidate that has not reset two probes is taken; the owner of an overflowed flow tells the first owner.

--- a/src/sassafrasknot/coordination/answer_reports.cpp
+++ b/src/sassafrasknot/coordination/answer_reports.cpp
@@ -98,15 +98,16 @@
     StartPeriod(aReporter, aNow);
   }
   std::unordered_map<std::uint64_t, AnswerReports> taken;
+  while (!aReporter.mPending.empty() &&
+         aNow - aReporter.mPending.front().mQueued > kLongestWait) {
+    // A later answer of the flow is reported in its place.
+    aReporter.mCurrent[aReporter.mPending.front().mBit] = false;
+    state::Increment(aCounters, "answer_reports_dropped_total");
+    aReporter.mPending.pop_front();
+  }
+  // The latest first: under load the oldest ones are dropped anyway.
   while (!aReporter.mPending.empty()) {
-    const auto& next = aReporter.mPending.front();
-    if (aNow - next.mQueued > kLongestWait) {
-      // A later answer of the flow is reported in its place.
-      aReporter.mCurrent[next.mBit] = false;
-      state::Increment(aCounters, "answer_reports_dropped_total");
-      aReporter.mPending.pop_front();
-      continue;
-    }
+    const auto& next = aReporter.mPending.back();
     const auto found = taken.find(next.mShard);
     if (found != taken.end() &&
         found->second.mReports.size() >= kMostPerMessage) {
@@ -118,7 +119,7 @@
       break;
     }
     taken[next.mShard].mReports.push_back(next.mReport);
-    aReporter.mPending.pop_front();
+    aReporter.mPending.pop_back();
   }
   return taken;
 }
--- a/src/sassafrasknot/coordination/caller_packets.cpp
+++ b/src/sassafrasknot/coordination/caller_packets.cpp
@@ -67,6 +67,14 @@
   }
 }
 
+/// Drops the packet at hand. @return true, as the packet was decided on
+bool
+DropUnknown(TrafficState& aState)
+{
+  DropPacket(aState, "packets_dropped_unknown_flow_total");
+  return true;
+}
+
 /// Sends the packet at hand to the flow's upstream, unless the upstream's
 /// endpoint is not bound to the flow's service.
 bool
@@ -80,18 +88,24 @@
   return true;
 }
 
-void
+/// @return false if the flow is to be treated as unknown
+bool
 OnQueuedFlow(TrafficState& aState,
              state::TimePoint aNow,
              const state::FlowEvent& aEvent)
 {
-  if (aEvent.mKind == state::SegmentKind::Reset) {
+  if (aEvent.mKind != state::SegmentKind::Open) {
+    // Either the caller gave up, or it is established through another owner
+    // that its repeated opening segment has reached.
     ForgetFlow(aState, aNow, aEvent.mKey);
+    return aEvent.mKind == state::SegmentKind::Reset && DropUnknown(aState);
   }
   DropPacket(aState, "packets_dropped_queued_flow_total");
+  return true;
 }
 
-void
+/// @return false if the flow is to be treated as unknown
+bool
 OnOpeningFlow(TrafficState& aState,
               state::TimePoint aNow,
               const state::FlowEvent& aEvent,
@@ -106,19 +120,23 @@
     Act(aState,
         ResetUpstream{ aEvent.mKey, aEntry.mUpstream, aEntry.mNextSequence });
     PlaceAgain(aState, aNow, aEvent.mKey, FailureKind::NoAnswer);
-    return;
+    return true;
   }
-  if (!SendOn(aState, aService, aEntry) ||
-      aEvent.mKind == state::SegmentKind::Open) {
-    return;
+  if (aEvent.mKind == state::SegmentKind::Open) {
+    SendOn(aState, aService, aEntry);
+    return true;
   }
   if (aEvent.mKind == state::SegmentKind::Reset) {
+    SendOn(aState, aService, aEntry);
     CloseFlow(aState, aNow, aEvent.mKey, aEntry);
-    return;
+    return true;
   }
-  // The caller has seen the upstream's answer although this owner has not.
-  AcceptFlow(aState, aNow, aEvent.mKey, aEntry);
-  TrackCaller(aState, aNow, aEvent, aEntry);
+  // The caller is established although this owner has not seen the answer of
+  // the upstream that it chose. Another owner may have placed the flow as well,
+  // so that payload must not go to this one's upstream unverified.
+  Act(aState, DropHeld{ aEntry.mToken });
+  ForgetFlow(aState, aNow, aEvent.mKey);
+  return false;
 }
 
 void
@@ -218,11 +236,9 @@
   auto& entry = found->second;
   switch (entry.mStage) {
     case FlowStage::Queued:
-      OnQueuedFlow(aState, aNow, event);
-      return true;
+      return OnQueuedFlow(aState, aNow, event);
     case FlowStage::Opening:
-      OnOpeningFlow(aState, aNow, event, aService, entry);
-      return true;
+      return OnOpeningFlow(aState, aNow, event, aService, entry);
     case FlowStage::Established:
       OnEstablishedFlow(aState, aNow, event, aService, entry);
       return true;
--- a/src/sassafrasknot/coordination/flow_lifecycle.cpp
+++ b/src/sassafrasknot/coordination/flow_lifecycle.cpp
@@ -361,6 +361,21 @@
   CheckAt(aState, aKey, entry, aNow + kElsewhereRetention);
 }
 
+void
+TellFirstOwner(TrafficState& aState, const FlowRecord& aRecord)
+{
+  const auto service = ServiceOfFlow(aState.mIndex, aRecord.mKey);
+  if (!service) {
+    return;
+  }
+  const auto route =
+    RouteOfFlow(aState.mIndex, *service, state::Hash(aRecord.mKey));
+  if (!route.empty() && !IsSelf(aState.mIndex, route.front().mOwner)) {
+    Act(aState,
+        SendPeer{ route.front().mOwner->mId, FlowCopies{ { aRecord } } });
+  }
+}
+
 void
 AcceptFlow(TrafficState& aState,
            state::TimePoint aNow,
@@ -373,6 +388,7 @@
   OnAccepted(*account.mShard, aEntry.mUpstream.mAddress, aNow);
   account.mProgress[aEntry.mUpstream.mAddress] = aNow;
   Act(aState, DropHeld{ aEntry.mToken });
+  TellFirstOwner(aState, RecordOf(aKey, aEntry));
   if (aEntry.mException || aEntry.mFlowClass != state::FlowClass::Feed) {
     QueueCopy(aState.mCopies, aKey, aEntry.mShard, aEntry.mFlowClass, aNow);
   }
--- a/src/sassafrasknot/coordination/flow_lifecycle.hpp
+++ b/src/sassafrasknot/coordination/flow_lifecycle.hpp
@@ -47,6 +47,11 @@
               const state::Endpoint& aUpstream,
               std::uint64_t aShard);
 
+/// Tells the owner of a flow's first shard where the flow is, unless that is
+/// this instance.
+void
+TellFirstOwner(TrafficState& aState, const FlowRecord& aRecord);
+
 /// Notes that the upstream accepted the flow.
 void
 AcceptFlow(TrafficState& aState,
--- a/src/sassafrasknot/coordination/peer_messages.cpp
+++ b/src/sassafrasknot/coordination/peer_messages.cpp
@@ -65,8 +65,10 @@
     return;
   }
   aState.mBackups[aRecord.mKey] = aRecord;
-  if (IsFirstOwner(aState.mIndex, *service, aRecord.mKey) &&
-      !aState.mFlows.contains(aRecord.mKey)) {
+  if (const auto known = aState.mFlows.find(aRecord.mKey);
+      IsFirstOwner(aState.mIndex, *service, aRecord.mKey) &&
+      (known == aState.mFlows.end() ||
+       known->second.mStage == FlowStage::Elsewhere)) {
     NoteElsewhere(aState, aNow, aRecord.mKey, aRecord.mUpstream, *shard);
     ResolveRecovery(aState, aRecord.mKey, aRecord.mUpstream, false);
   }
@@ -144,7 +146,10 @@
   if (const auto found = aState.mFlows.find(aMessage.mKey);
       found != aState.mFlows.end()) {
     const auto& entry = found->second;
-    if (entry.mStage != FlowStage::Established) {
+    const bool located = entry.mStage == FlowStage::Established ||
+                         (entry.mStage == FlowStage::Elsewhere &&
+                          entry.mUpstream != state::Endpoint{});
+    if (!located) {
       return;
     }
     Act(aState,
--- a/src/sassafrasknot/coordination/recovery.cpp
+++ b/src/sassafrasknot/coordination/recovery.cpp
@@ -11,6 +11,8 @@
 /// candidates are probed.
 constexpr auto kLookupTimeout = std::chrono::milliseconds{ 50 };
 constexpr auto kProbeInterval = std::chrono::milliseconds{ 500 };
+/// A reset that is lost once is seen after the next probe.
+constexpr std::uint32_t kProbesToSettle = 2;
 /// After this the caller is reset, so that it reconnects instead of hanging.
 constexpr auto kRecoveryTimeout = std::chrono::seconds{ 5 };
 /// The same while the data centre of the flow's first shard is cut off. A
@@ -35,7 +37,10 @@
 /// instances of that data centre that are leaving, the next in rendezvous
 /// order, and the owners of the flow's next shards.
 std::set<state::InstanceId>
-LookupTargets(const TrafficState& aState, const std::vector<RouteStep>& aRoute)
+LookupTargets(const TrafficState& aState,
+              std::uint32_t aService,
+              const state::FlowKey& aKey,
+              const std::vector<RouteStep>& aRoute)
 {
   std::set<state::InstanceId> targets;
   const auto& shard = *aRoute.front().mShard;
@@ -62,6 +67,14 @@
   for (std::size_t step = 1; step < aRoute.size(); ++step) {
     AddTarget(aState, targets, aRoute[step].mOwner);
   }
+  // A change of the table may have moved the flow's first shard.
+  for (const auto& candidate :
+       CandidatesOfFlow(aState.mIndex, aService, aKey)) {
+    if (const auto candidateShard =
+          ShardOfUpstream(aState.mIndex, aService, candidate.mAddress)) {
+      AddTarget(aState, targets, OwnerOf(aState.mIndex, *candidateShard));
+    }
+  }
   return targets;
 }
 
@@ -74,7 +87,7 @@
   if (route.empty()) {
     return;
   }
-  for (const auto& target : LookupTargets(aState, route)) {
+  for (const auto& target : LookupTargets(aState, aService, aKey, route)) {
     Act(aState, SendPeer{ target, FlowLookup{ aKey } });
   }
 }
@@ -114,28 +127,39 @@
   Act(aState, Hold{ recovery.mToken });
 }
 
-/// Takes over a flow whose record this instance holds as backup.
-/// @return false if it holds none
+/// Uses the record of a flow that this instance holds as backup, and sends the
+/// packet at hand to the flow's upstream or to the owner of its shard.
+/// @return false if it holds none that can be used
 bool
 RecoverFromBackup(TrafficState& aState,
                   state::TimePoint aNow,
-                  const state::FlowKey& aKey,
+                  const PacketEvent& aPacket,
                   std::uint32_t aService)
 {
-  const auto backup = aState.mBackups.find(aKey);
+  const auto backup = aState.mBackups.find(aPacket.mFlow.mKey);
   if (backup == aState.mBackups.end()) {
     return false;
   }
   const auto record = backup->second;
   const auto shard =
     ShardOfUpstream(aState.mIndex, aService, record.mUpstream.mAddress);
-  if (!shard || !IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard)) ||
-      !MaySend(aState.mIndex, aService, record.mUpstream)) {
+  const auto* const owner = shard ? OwnerOf(aState.mIndex, *shard) : nullptr;
+  if (owner == nullptr || !MaySend(aState.mIndex, aService, record.mUpstream)) {
+    return false;
+  }
+  if (IsSelf(aState.mIndex, owner)) {
+    aState.mBackups.erase(backup);
+    AdoptFlow(aState, aNow, record, aService, *shard);
+    state::Increment(aState.mCounters, "flows_recovered_from_backup_total");
+    Act(aState, SendToUpstream{ record.mUpstream });
+    return true;
+  }
+  if (std::ranges::find(aPacket.mHops, owner->mId) != aPacket.mHops.end() ||
+      aPacket.mHops.size() >= kMaxHops) {
     return false;
   }
-  aState.mBackups.erase(backup);
-  AdoptFlow(aState, aNow, record, aService, *shard);
-  state::Increment(aState.mCounters, "flows_recovered_from_backup_total");
+  NoteElsewhere(aState, aNow, record.mKey, record.mUpstream, *shard);
+  Act(aState, Forward{ owner->mId });
   return true;
 }
 
@@ -167,6 +191,46 @@
     aState.mReportRequests.insert(shard);
   }
   aRecovery.mNextProbe = aNow + kProbeInterval;
+  ++aRecovery.mProbes;
+}
+
+/// Whether all candidates but one have reset the probes. An upstream that does
+/// not know a flow resets each probe, and resets come through the owner, while
+/// the acknowledgement of one that knows it may go unreported. Since the one
+/// left knows the flow or is dead, payload sent there runs nothing twice.
+bool
+HasOneLeft(const Recovery& aRecovery)
+{
+  return aRecovery.mProbes >= kProbesToSettle &&
+         aRecovery.mCandidates.size() == 1;
+}
+
+/// Takes the only candidate that is left for the flow's upstream.
+void
+SettleRecovery(TrafficState& aState,
+               state::TimePoint aNow,
+               const state::FlowKey& aKey)
+{
+  const auto& recovery = aState.mRecoveries.at(aKey);
+  const auto upstream = recovery.mCandidates.front();
+  const auto service = recovery.mService;
+  const auto shard = ShardOfUpstream(aState.mIndex, service, upstream.mAddress);
+  if (!shard) {
+    return;
+  }
+  state::Increment(aState.mCounters, "flow_lookups_settled_total");
+  if (IsSelf(aState.mIndex, OwnerOf(aState.mIndex, *shard))) {
+    LearnPlacement(aState, aNow, aKey, upstream, service, *shard);
+    return;
+  }
+  if (const auto* const owner = OwnerOf(aState.mIndex, *shard)) {
+    const auto* const listener = ListenerOfFlow(aState.mIndex, service, aKey);
+    const FlowRecord record{ aKey, upstream, listener->mFlowClass,
+                             true, false,    false };
+    Act(aState, SendPeer{ owner->mId, FlowCopies{ { record } } });
+  }
+  NoteElsewhere(aState, aNow, aKey, upstream, *shard);
+  ResolveRecovery(aState, aKey, upstream, false);
 }
 
 } // namespace
@@ -178,8 +242,7 @@
             std::uint32_t aService)
 {
   const auto& event = aPacket.mFlow;
-  if (RecoverFromBackup(aState, aNow, event.mKey, aService)) {
-    Act(aState, SendToUpstream{ aState.mFlows.at(event.mKey).mUpstream });
+  if (RecoverFromBackup(aState, aNow, aPacket, aService)) {
     return;
   }
   if (event.mKind == state::SegmentKind::Reset) {
@@ -247,11 +310,7 @@
   }
   AdoptFlow(aState, aNow, record, aService, aShard);
   ResolveRecovery(aState, aKey, aUpstream, true);
-  const auto route = RouteOfFlow(aState.mIndex, aService, state::Hash(aKey));
-  if (!route.empty() && !IsSelf(aState.mIndex, route.front().mOwner)) {
-    Act(aState,
-        SendPeer{ route.front().mOwner->mId, FlowCopies{ { record } } });
-  }
+  TellFirstOwner(aState, record);
   return aState.mFlows.at(aKey);
 }
 
@@ -269,6 +328,7 @@
 void
 CheckRecoveries(TrafficState& aState, state::TimePoint aNow)
 {
+  std::vector<state::FlowKey> settled;
   for (auto next = aState.mRecoveries.begin();
        next != aState.mRecoveries.end();) {
     auto& [key, recovery] = *next;
@@ -290,11 +350,16 @@
       next = aState.mRecoveries.erase(next);
       continue;
     }
-    if (aNow >= recovery.mNextProbe) {
+    if (aNow >= recovery.mNextProbe && HasOneLeft(recovery)) {
+      settled.push_back(key);
+    } else if (aNow >= recovery.mNextProbe) {
       ProbeCandidates(aState, aNow, key, recovery);
     }
     ++next;
   }
+  for (const auto& key : settled) {
+    SettleRecovery(aState, aNow, key);
+  }
 }
 
 } // namespace sassafrasknot::coordination
--- a/src/sassafrasknot/coordination/snapshot_change.cpp
+++ b/src/sassafrasknot/coordination/snapshot_change.cpp
@@ -106,6 +106,36 @@
   return gained;
 }
 
+std::uint64_t
+FirstShardOf(const SnapshotIndex& aIndex, const state::FlowKey& aKey)
+{
+  const auto service = ServiceOfFlow(aIndex, aKey);
+  if (!service) {
+    return 0;
+  }
+  const auto route = RouteOfFlow(aIndex, *service, state::Hash(aKey));
+  return route.empty() ? 0 : route.front().mShard->mHash;
+}
+
+/// Forgets the queued flows whose first shard has changed: the repeated opening
+/// segments of their callers now go to another owner, and a flow must not be
+/// placed twice.
+void
+ForgetMovedQueued(TrafficState& aState,
+                  state::TimePoint aNow,
+                  const SnapshotIndex& aBefore)
+{
+  std::vector<state::FlowKey> moved;
+  for (const auto& [token, key] : aState.mQueued) {
+    if (FirstShardOf(aBefore, key) != FirstShardOf(aState.mIndex, key)) {
+      moved.push_back(key);
+    }
+  }
+  for (const auto& key : moved) {
+    ForgetFlow(aState, aNow, key);
+  }
+}
+
 } // namespace
 
 void
@@ -115,6 +145,7 @@
 {
   const auto before =
     std::exchange(aState.mIndex, MakeSnapshotIndex(std::move(aSnapshot)));
+  ForgetMovedQueued(aState, aNow, before);
   UpdateAccounts(aState, aNow);
   if (CompareOwners(aState, aNow, before)) {
     AdoptBackups(aState, aNow);
--- a/src/sassafrasknot/coordination/traffic_state.hpp
+++ b/src/sassafrasknot/coordination/traffic_state.hpp
@@ -29,6 +29,7 @@
   /// Sequence numbers of the caller's last segment, for probes.
   std::uint32_t mSequence = 0;
   std::uint32_t mAcknowledged = 0;
+  std::uint32_t mProbes = 0;
   std::vector<state::Endpoint> mCandidates;
 };
 
