Send resets of unknown flows to the instance that looks the flow up

Change: resets of unknown flows are forwarded to the owner of the flow's first shard; an owner that is sent an unknown flow asks the sender for its record.

--- a/src/sassafrasknot/coordination/answer_packets.cpp
+++ b/src/sassafrasknot/coordination/answer_packets.cpp
@@ -80,11 +80,7 @@
                        std::uint32_t aService,
                        std::uint64_t aShard)
 {
-  if (aEvent.mKind == state::SegmentKind::Reset) {
-    RuleOutCandidate(aState, aEvent.mKey, aEvent.mUpstream);
-    DropPacket(aState, "packets_dropped_unverified_reset_total");
-    return;
-  }
+
   if (aEvent.mKind == state::SegmentKind::Finish &&
       !MayLearn(aState, aNow, aEvent.mKey, aShard)) {
     // A repeated segment of a flow that has ended.
@@ -96,6 +92,25 @@
   OnControlAnswer(aState, aNow, aEvent, entry);
 }
 
+/// Forwards the reset of a flow that this owner does not know to the owner of
+/// the flow's first shard, which may be looking it up.
+void
+OnUnknownReset(TrafficState& aState,
+               const PacketEvent& aPacket,
+               std::uint32_t aService)
+{
+  const auto route =
+    RouteOfFlow(aState.mIndex, aService, state::Hash(aPacket.mFlow.mKey));
+  const auto* const first = NextStep(route, aPacket.mHops);
+  if (first == nullptr || first->mRank > 0 ||
+      IsSelf(aState.mIndex, first->mOwner) ||
+      aPacket.mHops.size() >= kMaxHops) {
+    DropPacket(aState, "packets_dropped_unverified_reset_total");
+    return;
+  }
+  Act(aState, Forward{ first->mOwner->mId });
+}
+
 /// Sends an opening, finishing or resetting answer to the flow's owner, or
 /// decides on it if this instance knows the flow or owns the shard.
 void
@@ -112,12 +127,22 @@
     OnControlAnswer(aState, aNow, event, found->second);
     return;
   }
+  if (event.mKind == state::SegmentKind::Reset &&
+      aState.mRecoveries.contains(event.mKey)) {
+    RuleOutCandidate(aState, event.mKey, event.mUpstream);
+    DropPacket(aState, "packets_dropped_unverified_reset_total");
+    return;
+  }
   const auto* const owner = OwnerOf(aState.mIndex, aShard);
   if (owner == nullptr) {
     DropPacket(aState, "packets_dropped_no_owner_total");
     return;
   }
   if (IsSelf(aState.mIndex, owner)) {
+    if (event.mKind == state::SegmentKind::Reset) {
+      OnUnknownReset(aState, aPacket, aService);
+      return;
+    }
     OnUnknownControlAnswer(aState, aNow, event, aService, aShard);
     return;
   }
--- a/src/sassafrasknot/coordination/caller_packets.cpp
+++ b/src/sassafrasknot/coordination/caller_packets.cpp
@@ -176,7 +176,9 @@
   const bool visited =
     owner != nullptr &&
     std::ranges::find(aPacket.mHops, owner->mId) != aPacket.mHops.end();
-  if (opensAgain || owner == nullptr || visited ||
+  const bool neverLocated = aEntry.mUpstream == state::Endpoint{} &&
+                            aNow - aEntry.mStarted > kOpeningRepeats;
+  if (opensAgain || neverLocated || owner == nullptr || visited ||
       IsSelf(aState.mIndex, owner)) {
     aState.mFlows.erase(aPacket.mFlow.mKey);
     return false;
@@ -214,6 +216,11 @@
   }
   const bool visited =
     std::ranges::find(aPacket.mHops, first.mOwner->mId) != aPacket.mHops.end();
+  if (visited) {
+    // The first owner took this instance for the flow's owner and may know its
+    // upstream.
+    Act(aState, SendPeer{ first.mOwner->mId, FlowLookup{ event.mKey } });
+  }
   if (visited || aPacket.mHops.size() >= kMaxHops) {
     DropPacket(aState, "packets_dropped_unknown_flow_total");
     return;
--- a/testing/randomised/upstream.cpp
+++ b/testing/randomised/upstream.cpp
@@ -15,7 +15,8 @@
 constexpr auto kPushInterval = std::chrono::seconds{ 5 };
 constexpr auto kDataTimeout = std::chrono::milliseconds{ 200 };
 constexpr auto kLongestTimeout = std::chrono::seconds{ 4 };
-constexpr std::uint32_t kRetries = 30;
+/// TCP gives up after 15 minutes or more.
+constexpr std::uint32_t kRetries = 200;
 constexpr auto kFinishedRetention = std::chrono::seconds{ 10 };
 /// An upstream that is leaving receives no new flow after this bound.
 constexpr auto kLeavingBound = std::chrono::seconds{ 2 };
