Check the invariants on every action of a traffic core

Cause: violations were seen by the fakes only, not inside the program. Change: each action is checked before it is returned (service of a packet, of an answer and of a probe, verdict, trust, revision); violations are counted, and end the process in tests. The randomised run can make six deliberate faults. Conclusion: the checks can fail.

--- a/src/sassafrasknot/coordination/flow_lifecycle.cpp
+++ b/src/sassafrasknot/coordination/flow_lifecycle.cpp
@@ -110,6 +110,7 @@
                    upstream->mState == state::UpstreamState::Live,
                  "placed_on_leaving_upstream",
                  aState.mCounters);
+  CheckInvariant(MayPlace(aState, aNow), "placed_untrusted", aState.mCounters);
   if (!aEntry.mAccounted) {
     ++AccountOf(aState, aEntry.mShard, aNow).mFlows;
   }
--- a/src/sassafrasknot/coordination/snapshot_change.cpp
+++ b/src/sassafrasknot/coordination/snapshot_change.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/coordination/flow_lifecycle.hpp"
 #include "sassafrasknot/coordination/handover.hpp"
+#include "sassafrasknot/coordination/invariant.hpp"
 #include "sassafrasknot/coordination/recovery.hpp"
 
 namespace sassafrasknot::coordination {
@@ -143,6 +144,9 @@
                state::TimePoint aNow,
                std::shared_ptr<const state::Snapshot> aSnapshot)
 {
+  CheckInvariant(aSnapshot->mRevision >= aState.mIndex.mSnapshot->mRevision,
+                 "revision_went_back",
+                 aState.mCounters);
   const auto before =
     std::exchange(aState.mIndex, MakeSnapshotIndex(std::move(aSnapshot)));
   ForgetMovedQueued(aState, aNow, before);
--- a/src/sassafrasknot/coordination/traffic_core.cpp
+++ b/src/sassafrasknot/coordination/traffic_core.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/coordination/traffic_core.hpp"
 
+#include "sassafrasknot/coordination/action_checks.hpp"
 #include "sassafrasknot/coordination/answer_packets.hpp"
 #include "sassafrasknot/coordination/caller_packets.hpp"
 #include "sassafrasknot/coordination/flow_checks.hpp"
@@ -62,9 +63,12 @@
 }
 
 TrafficActions
-Finish(TrafficState& aState, state::TimePoint aNow)
+Finish(TrafficState& aState,
+       state::TimePoint aNow,
+       const PacketEvent* aPacket = nullptr)
 {
   ServeFreed(aState, aNow);
+  CheckActions(aState, aPacket);
   return std::exchange(aState.mActions, {});
 }
 
@@ -161,7 +165,7 @@
   } else {
     OnAnswerPacket(state, aNow, aPacket);
   }
-  return Finish(state, aNow);
+  return Finish(state, aNow, &aPacket);
 }
 
 TrafficActions
--- a/testing/randomised/main.cpp
+++ b/testing/randomised/main.cpp
@@ -98,6 +98,7 @@
   long long steps = 20000;
   const char* faults = "all";
   int counters = 0;
+  const char* sabotage = "";
   double loss = 0;
   long long traced = 0;
   const poptOption options[] = {
@@ -112,6 +113,13 @@
       "NAME" },
     { "counters", 'c', POPT_ARG_NONE, &counters, 0, "print counters", nullptr },
     { "trace", 't', POPT_ARG_LONGLONG, &traced, 0, "print one flow", "FLOW" },
+    { "sabotage",
+      'x',
+      POPT_ARG_STRING,
+      &sabotage,
+      0,
+      "make a deliberate fault",
+      "KIND" },
     { "loss", 'l', POPT_ARG_DOUBLE, &loss, 0, "part of packets lost", "0..1" },
     POPT_AUTOHELP POPT_TABLEEND
   };
@@ -126,6 +134,7 @@
   randomised::WorldOptions worldOptions;
   worldOptions.mSeed = static_cast<std::uint64_t>(seed);
   worldOptions.mLoss = loss;
+  worldOptions.mSabotage = sabotage;
   const auto world = randomised::MakeWorld(worldOptions);
   world->mTraced = static_cast<std::uint64_t>(traced);
   randomised::StartArrivals(*world);
--- a/testing/randomised/randomised.cmake
+++ b/testing/randomised/randomised.cmake
@@ -11,3 +11,14 @@
 add_executable(randomised ${CMAKE_CURRENT_LIST_DIR}/main.cpp)
 target_compile_options(randomised PRIVATE ${SASSAFRASKNOT_COMPILE_OPTIONS})
 target_link_libraries(randomised PRIVATE sassafrasknot_randomised PkgConfig::POPT)
+
+if(SASSAFRASKNOT_TESTS)
+  foreach(seed RANGE 1 6)
+    add_test(NAME randomised_planned_${seed}
+      COMMAND randomised --faults planned --seed ${seed} --steps 100000)
+    add_test(NAME randomised_all_${seed}
+      COMMAND randomised --faults all --seed ${seed} --steps 100000)
+  endforeach()
+  add_test(NAME randomised_finds_deliberate_faults
+    COMMAND ${CMAKE_CURRENT_LIST_DIR}/sabotage_test.sh $<TARGET_FILE:randomised>)
+endif()
--- a/testing/randomised/world.cpp
+++ b/testing/randomised/world.cpp
@@ -71,8 +71,17 @@
   const Packet* mPacket;
   const std::vector<state::InstanceId>* mHops;
 
-  void ToUpstream(const Endpoint& aUpstream, const Packet& aPacket) const
+  /// Whether a deliberate fault is to be made now.
+  bool Sabotages(std::string_view aKind) const
   {
+    return mWorld.mOptions.mSabotage == aKind && Uniform(mWorld) < 0.01;
+  }
+
+  void ToUpstream(Endpoint aUpstream, const Packet& aPacket) const
+  {
+    if (Sabotages("misroute")) {
+      aUpstream.mAddress.mValue ^= 256;
+    }
     const auto target = mWorld.mUpstreams.find(aUpstream);
     if (target == mWorld.mUpstreams.end() || IsLost(mWorld) ||
         IsSilenced(mWorld, aPacket) ||
@@ -121,6 +130,22 @@
   void operator()(const coordination::SendToUpstream& aAction) const
   {
     ToUpstream(aAction.mUpstream, *mPacket);
+    if (Sabotages("run-twice") && mPacket->mFlow.mPayload > 0) {
+      ++mWorld.mExecutions[mPacket->mCallerFlow];
+    }
+    if (Sabotages("false-not-run") && mPacket->mFlow.mPayload > 0) {
+      auto reset = *mPacket;
+      reset.mFlow.mKind = SegmentKind::Reset;
+      reset.mFlow.mSequence = mPacket->mFlow.mAcknowledged;
+      reset.mVerdict = Verdict::NotRun;
+      ToCaller(reset);
+    }
+    if (Sabotages("break-flows")) {
+      auto reset = *mPacket;
+      reset.mFlow.mKind = SegmentKind::Reset;
+      reset.mFlow.mSequence = mPacket->mFlow.mAcknowledged;
+      ToCaller(reset);
+    }
   }
 
   void operator()(const coordination::SendToCaller& aAction) const
@@ -446,6 +471,18 @@
   }
 }
 
+void
+IgnoreLeaving(std::vector<state::ServiceTable>& aTables)
+{
+  for (auto& table : aTables) {
+    for (auto& shard : table.mShards) {
+      for (auto& upstream : shard.mUpstreams) {
+        upstream.mState = state::UpstreamState::Live;
+      }
+    }
+  }
+}
+
 } // namespace
 
 double
@@ -517,6 +554,9 @@
   snapshot->mSelf = aInstance.mId;
   snapshot->mDataCentre = aInstance.mDataCentre;
   snapshot->mRevision = aInstance.mRevision;
+  if (aWorld.mOptions.mSabotage == "revert" && Uniform(aWorld) < 0.1) {
+    --snapshot->mRevision;
+  }
   snapshot->mSequence = ++aInstance.mSequence;
   snapshot->mInstances = MakeViews(aWorld, aInstance);
   snapshot->mReachable = aInstance.mReachable;
@@ -529,6 +569,9 @@
     view.mId = { organisation.mId, view.mService.mName };
     view.mRevision = aInstance.mRevision;
     view.mTables = aInstance.mTables[index];
+    if (aWorld.mOptions.mSabotage == "place-on-leaving") {
+      IgnoreLeaving(view.mTables);
+    }
     for (auto& table : view.mTables) {
       state::AssignOwners(table, snapshot->mInstances);
     }
--- a/testing/randomised/world.hpp
+++ b/testing/randomised/world.hpp
@@ -32,6 +32,9 @@
   double mArrivals = 50;
   /// Part of the packets and peer messages that is lost, 0 to 1.
   double mLoss = 0;
+  /// A deliberate fault that a check must find: "misroute", "run-twice",
+  /// "false-not-run", "place-on-leaving", "break-flows" or "revert", or empty.
+  std::string mSabotage;
 };
 
 /// One process with its traffic core and what it believes.
