Add validate, render, diff and submit-check on platform documents

Cause: operators need to see what a change of the documents does before the platform takes it, and whether its reversal is as safe.

Change: state gains document sets, which are rendered and checked as a whole, and differences of two sets with the unsafe steps of each direction. sassafrasknotctl gains four commands that read a folder or a read answer of the platform. Example documents of both deployments are validated by ctest.

Decisions where the design is silent: an upstream is added with the state leaving and set live in a second change, because the reversal of a one-step addition removes a live upstream. Removing a listener from a service that stays, and changing a listener's upstream port or protocol, a service's address or an upstream's data centre in place, are unsafe, because packets of established flows would no longer be recognised. A move between two services of one organisation is unsafe like one between organisations.

--- /dev/null
+++ b/apps/sassafrasknotctl/command_line.cpp
@@ -0,0 +1,76 @@
+#include "command_line.hpp"
+
+#include <iostream>
+#include <memory>
+#include <type_traits>
+
+#include "commands.hpp"
+#include <popt.h>
+
+namespace sassafrasknotctl {
+namespace {
+
+constexpr const char* kInputHelp =
+  "\nAn input is a JSON file in the form of the platform's read answer, or a\n"
+  "folder with templates/NAME.json, organisations/NAME.json,\n"
+  "instances/DC.json and upstreams/DC.json. Refused input gives one line\n"
+  "FILE: PLACE: MESSAGE per fault and exit status 2.\n"
+  "\noptions:\n"
+  "      --json     write one JSON object instead of text\n"
+  "  -?, --help     show this help\n";
+
+int
+Refuse(const CommandHelp& aHelp, const std::string& aMessage)
+{
+  std::cerr << "sassafrasknotctl " << aHelp.mName << ": " << aMessage
+            << "; see 'sassafrasknotctl " << aHelp.mName << " --help'\n";
+  return kExitUsage;
+}
+
+} // namespace
+
+std::optional<CommandLine>
+ParseCommandLine(const CommandHelp& aHelp,
+                 int aArgc,
+                 const char** aArgv,
+                 int& aExitStatus)
+{
+  int json = 0;
+  int help = 0;
+  const poptOption options[] = {
+    { "json", '\0', POPT_ARG_NONE, &json, 0, nullptr, nullptr },
+    { "help", '?', POPT_ARG_NONE, &help, 0, nullptr, nullptr },
+    POPT_TABLEEND
+  };
+  const std::unique_ptr<std::remove_pointer_t<poptContext>,
+                        poptContext (*)(poptContext)>
+    context(poptGetContext(aHelp.mName, aArgc, aArgv, options, 0),
+            poptFreeContext);
+  const int code = poptGetNextOpt(context.get());
+  if (code < -1) {
+    aExitStatus = Refuse(aHelp,
+                         std::string(poptBadOption(context.get(), 0)) + ": " +
+                           poptStrerror(code));
+    return std::nullopt;
+  }
+  if (help != 0) {
+    std::cout << "usage: sassafrasknotctl " << aHelp.mName << " [--json] "
+              << aHelp.mArguments << "\n\n"
+              << aHelp.mText << kInputHelp;
+    aExitStatus = 0;
+    return std::nullopt;
+  }
+  CommandLine line{ {}, json != 0 };
+  while (const char* argument = poptGetArg(context.get())) {
+    line.mArguments.emplace_back(argument);
+  }
+  if (line.mArguments.size() < aHelp.mFewestArguments ||
+      line.mArguments.size() > aHelp.mMostArguments) {
+    aExitStatus =
+      Refuse(aHelp, std::string("wants the arguments ") + aHelp.mArguments);
+    return std::nullopt;
+  }
+  return line;
+}
+
+} // namespace sassafrasknotctl
--- a/apps/sassafrasknotctl/commands.hpp
+++ b/apps/sassafrasknotctl/commands.hpp
@@ -23,6 +23,18 @@
 std::span<const Command>
 Commands();
 
+int
+RunValidate(int aArgc, const char** aArgv);
+
+int
+RunRender(int aArgc, const char** aArgv);
+
+int
+RunDiff(int aArgc, const char** aArgv);
+
+int
+RunSubmitCheck(int aArgc, const char** aArgv);
+
 } // namespace sassafrasknotctl
 
 #endif
--- /dev/null
+++ b/apps/sassafrasknotctl/document_commands_test.cpp
@@ -0,0 +1,288 @@
+#include "sassafrasknot/protocol/text_mutation_test.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <vector>
+
+#include "commands.hpp"
+#include <gmock/gmock.h>
+#include <rapidcheck/gtest.h>
+#include <unistd.h>
+
+namespace sassafrasknotctl {
+namespace {
+
+namespace fs = std::filesystem;
+using testing::HasSubstr;
+using testing::IsEmpty;
+using testing::StartsWith;
+
+constexpr std::string_view kTemplate = R"({"services": [
+  {"name": "feed", "slots": 2, "connections": 2000, "listeners": [
+    {"port": 443, "upstream_port": 8443, "flow_class": "feed"},
+    {"port": 444, "upstream_port": 8444, "flow_class": "work"}]}]})";
+constexpr std::string_view kOrganisation = R"({"template": "t", "services": [
+  {"name": "feed", "address": "127.10.0.1", "upstreams": [
+    {"address": "127.20.0.1", "data_centre": "dc1"},
+    {"address": "127.20.0.2", "data_centre": "dc1"}]}]})";
+constexpr std::string_view kInstances = R"({"instances": [
+  {"name": "a", "peer_endpoint": "127.1.0.1:7000",
+   "control_endpoint": "127.1.0.1:7001"}]})";
+constexpr std::string_view kUpstreams =
+  R"({"upstreams": [{"address": "127.20.0.1"}, {"address": "127.20.0.2"}]})";
+
+/// A folder of valid documents that is removed at the end.
+class DocumentFolder
+{
+public:
+  explicit DocumentFolder(const std::string& aName)
+    : mPath(fs::temp_directory_path() /
+            ("sassafrasknot-" + aName + '-' + std::to_string(getpid())))
+  {
+    Write("templates/t.json", kTemplate);
+    Write("organisations/a.json", kOrganisation);
+    Write("instances/dc1.json", kInstances);
+    Write("upstreams/dc1.json", kUpstreams);
+  }
+  ~DocumentFolder() { fs::remove_all(mPath); }
+  DocumentFolder(const DocumentFolder&) = delete;
+  DocumentFolder& operator=(const DocumentFolder&) = delete;
+
+  void Write(const std::string& aFile, std::string_view aText) const
+  {
+    fs::create_directories((mPath / aFile).parent_path());
+    std::ofstream(mPath / aFile) << aText;
+  }
+  std::string Path() const { return mPath; }
+
+private:
+  fs::path mPath;
+};
+
+struct Outcome
+{
+  int mStatus = 0;
+  std::string mOutput;
+  std::string mErrors;
+};
+
+Outcome
+RunCommand(std::vector<const char*> aArguments)
+{
+  const auto commands = Commands();
+  const auto command = std::ranges::find(
+    commands, std::string_view(aArguments.at(0)), &Command::mName);
+  const auto count = static_cast<int>(aArguments.size());
+  aArguments.push_back(nullptr);
+  testing::internal::CaptureStdout();
+  testing::internal::CaptureStderr();
+  const int status = command->mRun(count, aArguments.data());
+  return { status,
+           testing::internal::GetCapturedStdout(),
+           testing::internal::GetCapturedStderr() };
+}
+
+std::string
+Replaced(std::string_view aText, std::string_view aOld, std::string_view aNew)
+{
+  std::string text(aText);
+  const auto index = text.find(aOld);
+  EXPECT_NE(index, std::string::npos) << aOld;
+  return text.replace(index, aOld.size(), aNew);
+}
+
+// Guards against broken documents that are accepted, or refused without saying
+// where the fault is.
+TEST(ValidateCommand, RefusesBrokenDocumentsWithOneLineEach)
+{
+  struct Row
+  {
+    std::string mFile;
+    std::string mText;
+    std::string mPlace;
+  };
+  const auto common = [](auto aOld, auto aNew) {
+    return Replaced(kTemplate, aOld, aNew);
+  };
+  const auto own = [](auto aOld, auto aNew) {
+    return Replaced(kOrganisation, aOld, aNew);
+  };
+  const std::string t = "templates/t.json";
+  const std::string a = "organisations/a.json";
+  const std::string i = "instances/dc1.json";
+  const std::string u = "upstreams/dc1.json";
+  const Row rows[] = {
+    { t, "", "line 1 column 1" },
+    { t, "[]", "document" },
+    { t, std::string(1000001, ' '), "document" },
+    { t, std::string(5000, '['), "line 1 column 9" },
+    { t, common("}]}]}", "}]}]"), "line 4 column 66" },
+    { t, common("\"slots\": 2", "\"slots\": 0"), "services/feed/slots" },
+    { t, common("2000", "1"), "services/feed/connections" },
+    { t, common("443,", "70000,"), "services/feed/listeners/0/port" },
+    { t, common("444,", "443,"), "services/feed/listeners/1/port" },
+    { t, common("8444", "8443"), "services/feed/listeners/1/upstream_port" },
+    { t, common("work", "fast"), "services/feed/listeners/1/flow_class" },
+    { t, common("\"slots\"", "\"slot\""), "services/feed/slot" },
+    { t, common("\"slots\"", "\"name\""), "services/0/name" },
+    { a, own("\"t\"", "\"missing\""), "template" },
+    { a, own("\"template\": \"t\",", ""), "template" },
+    { a, own("\"feed\"", "\"other\""), "services/other" },
+    { a, own("\"services\"", "\"weight\": 0, \"services\""), "weight" },
+    { a, own("\"services\"", "\"weight\": \"1\", \"services\""), "weight" },
+    { a, own("127.10.0.1", "0.0.0.0"), "services/feed/address" },
+    { a, own("127.10.0.1", "::1"), "services/feed/address" },
+    { a, own("127.20.0.2", "127.20.0.1"), "services/feed/upstreams/1/address" },
+    { a, own("127.20.0.2", "127.10.0.1"), "services/feed/upstreams/1/address" },
+    { a, own("dc1", "DC 1"), "services/feed/upstreams/0/data_centre" },
+    { "organisations/b.json",
+      own("127.20.0.2", "127.20.0.3"),
+      "services/feed/address" },
+    { "organisations/B.json", std::string(kOrganisation), "key" },
+    { "organisations/b.txt", std::string(kOrganisation), "file" },
+    { i, Replaced(kInstances, ":7000", ""), "instances/a/peer_endpoint" },
+    { "instances/dc2.json", std::string(kInstances), "instances/a/name" },
+    { u, Replaced(kUpstreams, "0.2", "0.1"), "upstreams/1/address" },
+    { "upstreams/dc2.json",
+      R"({"upstreams": [{"address": "127.20.0.2"}]})",
+      "upstreams/0/address" },
+  };
+  for (const auto& [file, text, place] : rows) {
+    const DocumentFolder folder("broken");
+    folder.Write(file, text);
+    const auto outcome = RunCommand({ "validate", folder.Path().c_str() });
+    EXPECT_EQ(outcome.mStatus, kExitUsage) << file << ' ' << place;
+    EXPECT_THAT(outcome.mOutput, IsEmpty());
+    const auto first = outcome.mErrors.substr(0, outcome.mErrors.find('\n'));
+    auto start = folder.Path();
+    start.append("/").append(file).append(": ").append(place).append(": ");
+    EXPECT_THAT(first, StartsWith(start));
+    // Repeated instances and organisations repeat several of their members.
+    if (!file.ends_with("dc2.json") && !file.ends_with("b.json")) {
+      EXPECT_EQ(std::ranges::count(outcome.mErrors, '\n'), 1)
+        << outcome.mErrors;
+    }
+  }
+}
+
+// Guards against valid documents that are refused.
+TEST(ValidateCommand, AcceptsValidDocuments)
+{
+  const DocumentFolder folder("valid");
+  const auto outcome = RunCommand({ "validate", folder.Path().c_str() });
+  EXPECT_EQ(outcome.mStatus, 0) << outcome.mErrors;
+  EXPECT_THAT(outcome.mOutput, StartsWith("valid: 1 templates"));
+  EXPECT_EQ(RunCommand({ "validate", "--json", folder.Path().c_str() }).mOutput,
+            "{\"valid\":true,\"templates\":1,\"organisations\":1,"
+            "\"faults\":[]}\n");
+}
+
+// Guards against a read answer whose fault can't be traced to its document.
+TEST(ValidateCommand, NamesTheKeyInAReadAnswer)
+{
+  const DocumentFolder folder("answer");
+  const auto write = [&](std::string_view aOrganisation) {
+    folder.Write("answer.json",
+                 R"({"revision": 3, "full": true, "records": [
+      {"key": "templates/t", "revision": 1, "value": )" +
+                   std::string(kTemplate) + R"(},
+      {"key": "organisations/a", "revision": 3, "value": )" +
+                   std::string(aOrganisation) + "}]}");
+  };
+  const auto file = folder.Path() + "/answer.json";
+  write(kOrganisation);
+  EXPECT_EQ(RunCommand({ "validate", file.c_str() }).mStatus, 0);
+  write(Replaced(kOrganisation, "\"dc1\"", "7"));
+  const auto outcome = RunCommand({ "validate", file.c_str() });
+  EXPECT_EQ(outcome.mStatus, kExitUsage);
+  EXPECT_EQ(outcome.mErrors,
+            file + ": organisations/a/services/feed/upstreams/0/data_centre: "
+                   "must be a string\n");
+}
+
+// Guards against a change that is called safe although its reversal is not,
+// and against exit statuses that a script can't tell apart.
+TEST(SubmitCheckCommand, ChecksBothDirections)
+{
+  const DocumentFolder old("old");
+  const DocumentFolder changed("new");
+  const auto check = [&](const char* aCommand) {
+    return RunCommand({ aCommand, old.Path().c_str(), changed.Path().c_str() });
+  };
+  changed.Write("organisations/a.json",
+                Replaced(kOrganisation,
+                         "\"127.20.0.2\",",
+                         "\"127.20.0.2\", \"state\": \"leaving\","));
+  EXPECT_EQ(check("submit-check").mStatus, 0);
+  EXPECT_THAT(check("diff").mOutput, StartsWith("upstream-drained "));
+  changed.Write("organisations/a.json",
+                Replaced(kOrganisation,
+                         "{\"address\": \"127.20.0.2\"",
+                         "{\"address\": \"127.20.0.3\", \"data_centre\": "
+                         "\"dc1\"}, {\"address\": \"127.20.0.2\""));
+  const auto unsafe = check("submit-check");
+  EXPECT_EQ(unsafe.mStatus, 1);
+  EXPECT_THAT(unsafe.mOutput,
+              StartsWith("reversal: upstream-removed organisations/a "
+                         "services/feed/upstreams/127.20.0.3: "));
+  changed.Write("organisations/a.json", "{}");
+  EXPECT_EQ(check("submit-check").mStatus, kExitUsage);
+}
+
+// Guards against rendered organisations that hide what the lists say.
+TEST(RenderCommand, ShowsPublishedStates)
+{
+  const DocumentFolder folder("render");
+  folder.Write("upstreams/dc1.json",
+               R"({"upstreams": [{"address": "127.20.0.2",
+                                  "state": "leaving"}]})");
+  const auto outcome = RunCommand({ "render", folder.Path().c_str(), "a" });
+  EXPECT_THAT(outcome.mOutput,
+              HasSubstr("127.20.0.1 in dc1, 2 slots, 2000 "
+                        "connections, live\n"));
+  EXPECT_THAT(outcome.mOutput,
+              HasSubstr("127.20.0.2 in dc1, 2 slots, 2000 "
+                        "connections, leaving\n"));
+  EXPECT_EQ(RunCommand({ "render", folder.Path().c_str(), "b" }).mStatus,
+            kExitUsage);
+}
+
+// Guards against help that does not fit a screen of 24 lines of 80 columns.
+TEST(DocumentCommands, HelpFitsAScreen)
+{
+  for (const char* name : { "validate", "render", "diff", "submit-check" }) {
+    const auto outcome = RunCommand({ name, "--help" });
+    EXPECT_EQ(outcome.mStatus, 0);
+    EXPECT_LE(std::ranges::count(outcome.mOutput, '\n'), 23) << name;
+    std::istringstream lines(outcome.mOutput);
+    for (std::string line; std::getline(lines, line);) {
+      EXPECT_LE(line.size(), 80U) << line;
+    }
+    EXPECT_EQ(RunCommand({ name }).mStatus, kExitUsage);
+    EXPECT_EQ(RunCommand({ name, "--unknown" }).mStatus, kExitUsage);
+    EXPECT_EQ(RunCommand({ name, "/nonexistent", "/nonexistent" }).mStatus,
+              kExitUsage);
+  }
+}
+
+// Guards against documents that pass the decoder and crash a later stage.
+RC_GTEST_PROP(DocumentCommands,
+              ChangedDocumentsNeverCrash,
+              (std::uint64_t aSeed))
+{
+  std::mt19937_64 random(aSeed);
+  const DocumentFolder old("fuzz-old");
+  const DocumentFolder folder("fuzz-new");
+  folder.Write("templates/t.json",
+               sassafrasknot::protocol::MutateText(kTemplate, random));
+  folder.Write("organisations/a.json",
+               sassafrasknot::protocol::MutateText(kOrganisation, random));
+  const auto outcome =
+    RunCommand({ "submit-check", old.Path().c_str(), folder.Path().c_str() });
+  RC_ASSERT(outcome.mStatus >= 0 && outcome.mStatus <= 2);
+  RC_ASSERT((outcome.mStatus == 2) == !outcome.mErrors.empty());
+}
+
+} // namespace
+} // namespace sassafrasknotctl
--- /dev/null
+++ b/apps/sassafrasknotctl/document_input.cpp
@@ -0,0 +1,194 @@
+#include "document_input.hpp"
+
+#include "sassafrasknot/protocol/document_codec.hpp"
+#include "sassafrasknot/protocol/platform_codec.hpp"
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace sassafrasknotctl {
+namespace {
+
+namespace protocol = sassafrasknot::protocol;
+namespace fs = std::filesystem;
+
+constexpr std::array kFolders{ "templates",
+                               "organisations",
+                               "instances",
+                               "upstreams" };
+
+/// Splits a codec's message "PLACE: MESSAGE".
+InputFault
+MakeFault(std::string aFile, const std::string& aMessage)
+{
+  const auto colon = aMessage.find(": ");
+  if (colon == std::string::npos) {
+    return { std::move(aFile), "document", aMessage };
+  }
+  return { std::move(aFile),
+           aMessage.substr(0, colon),
+           aMessage.substr(colon + 2) };
+}
+
+/// Reads at most one byte more than a limit, so that the codec sees that a file
+/// is too long without the whole of it.
+std::optional<std::string>
+ReadText(const fs::path& aPath, std::size_t aLimit)
+{
+  std::ifstream input(aPath, std::ios::binary);
+  std::string text(aLimit + 1, '\0');
+  if (!input.read(text.data(), static_cast<std::streamsize>(text.size())) &&
+      !input.eof()) {
+    return std::nullopt;
+  }
+  text.resize(static_cast<std::size_t>(input.gcount()));
+  return text;
+}
+
+std::vector<fs::path>
+EntriesOf(const fs::path& aFolder)
+{
+  std::vector<fs::path> entries;
+  std::error_code failure;
+  for (fs::directory_iterator at(aFolder, failure), end; at != end && !failure;
+       at.increment(failure)) {
+    entries.push_back(at->path());
+  }
+  std::ranges::sort(entries);
+  return entries;
+}
+
+void
+ReadDocument(DocumentInput& aInput,
+             const fs::path& aFile,
+             const std::string& aKey)
+{
+  const auto text = ReadText(aFile, protocol::kDocumentBytes);
+  if (!text) {
+    aInput.mFaults.push_back({ aFile, "document", "cannot be read" });
+    return;
+  }
+  auto document = protocol::DecodeDocument(aKey, *text);
+  if (!document) {
+    aInput.mFaults.push_back(MakeFault(aFile, document.error().mMessage));
+    return;
+  }
+  AddDocument(aInput.mDocuments, std::move(document).value());
+}
+
+void
+ReadFolder(DocumentInput& aInput, const fs::path& aFolder)
+{
+  for (const auto& entry : EntriesOf(aFolder)) {
+    const auto name = entry.filename().string();
+    if (!fs::is_directory(entry)) {
+      continue;
+    }
+    if (std::ranges::find(kFolders, name) == kFolders.end()) {
+      aInput.mFaults.push_back(
+        { entry,
+          "folder",
+          "must be templates, organisations, instances or upstreams" });
+      continue;
+    }
+    for (const auto& file : EntriesOf(entry)) {
+      if (file.extension() != ".json" || !fs::is_regular_file(file)) {
+        aInput.mFaults.push_back({ file, "file", "must be named NAME.json" });
+        continue;
+      }
+      ReadDocument(aInput, file, name + '/' + file.stem().string());
+    }
+  }
+}
+
+void
+ReadAnswer(DocumentInput& aInput, const fs::path& aFile)
+{
+  const auto text = ReadText(aFile, protocol::kPlatformAnswerBytes);
+  if (!text) {
+    aInput.mFaults.push_back({ aFile, "file", "cannot be read" });
+    return;
+  }
+  const auto answer = protocol::DecodePlatformAnswer(*text);
+  if (!answer) {
+    aInput.mFaults.push_back(MakeFault(aFile, answer.error().mMessage));
+    return;
+  }
+  for (const auto& record : answer.value().mRecords) {
+    if (record.mDeleted) {
+      continue;
+    }
+    auto document = protocol::DecodeDocument(record.mKey, record.mText);
+    if (document) {
+      AddDocument(aInput.mDocuments, std::move(document).value());
+      continue;
+    }
+    auto fault = MakeFault(aFile, document.error().mMessage);
+    fault.mPlace = record.mKey + '/' + fault.mPlace;
+    aInput.mFaults.push_back(std::move(fault));
+  }
+}
+
+} // namespace
+
+DocumentInput
+ReadInput(const std::string& aPath)
+{
+  DocumentInput input;
+  const bool isFolder = fs::is_directory(aPath);
+  if (isFolder) {
+    ReadFolder(input, aPath);
+  } else {
+    ReadAnswer(input, aPath);
+  }
+  if (!input.mFaults.empty()) {
+    return input;
+  }
+  if (input.mDocuments == state::DocumentSet{}) {
+    input.mFaults.push_back({ aPath, "input", "has no documents" });
+    return input;
+  }
+  input.mRendered = RenderSet(input.mDocuments);
+  for (const auto& [key, finding] : input.mRendered.mFindings) {
+    if (isFolder) {
+      const auto file = (fs::path(aPath) / (key + ".json")).string();
+      input.mFaults.push_back({ file, finding.mPlace, finding.mMessage });
+    } else {
+      input.mFaults.push_back(
+        { aPath, key + '/' + finding.mPlace, finding.mMessage });
+    }
+  }
+  return input;
+}
+
+void
+PrintFaults(const std::vector<InputFault>& aFaults)
+{
+  for (const auto& fault : aFaults) {
+    std::cerr << fault.mFile << ": " << fault.mPlace << ": " << fault.mMessage
+              << '\n';
+  }
+}
+
+std::optional<DocumentInput>
+ReadFaultlessInput(const std::string& aPath)
+{
+  auto input = ReadInput(aPath);
+  PrintFaults(input.mFaults);
+  return input.mFaults.empty() ? std::optional(std::move(input)) : std::nullopt;
+}
+
+std::string
+Summary(const state::DocumentSet& aSet)
+{
+  return std::to_string(aSet.mTemplates.size()) + " templates, " +
+         std::to_string(aSet.mOrganisations.size()) + " organisations, " +
+         std::to_string(aSet.mInstances.size()) + " lists of instances, " +
+         std::to_string(aSet.mUpstreams.size()) + " lists of upstreams";
+}
+
+} // namespace sassafrasknotctl
--- /dev/null
+++ b/apps/sassafrasknotctl/submit_check_command.cpp
@@ -0,0 +1,65 @@
+#include <iostream>
+
+#include "change_text.hpp"
+#include "command_line.hpp"
+#include "commands.hpp"
+#include "document_input.hpp"
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace sassafrasknotctl {
+namespace {
+
+constexpr CommandHelp kHelp{
+  "submit-check",
+  "OLD NEW",
+  "Checks that the change from OLD to NEW is safe, and so is its reversal: no\n"
+  "established flow breaks, no endpoint is taken from another service, and no\n"
+  "upstream is removed that was not leaving. Names each unsafe step.\n"
+  "Exit status: 0 safe, 1 unsafe, 2 refused.\n",
+  2,
+  2
+};
+
+void
+PrintUnsafe(std::string_view aDirection,
+            const std::vector<state::Change>& aChanges)
+{
+  for (const auto& change : aChanges) {
+    std::cout << aDirection << ": " << ToText(change) << "\n  "
+              << change.mDanger << '\n';
+  }
+}
+
+} // namespace
+
+int
+RunSubmitCheck(int aArgc, const char** aArgv)
+{
+  int status = 0;
+  const auto line = ParseCommandLine(kHelp, aArgc, aArgv, status);
+  if (!line) {
+    return status;
+  }
+  const auto old = ReadFaultlessInput(line->mArguments[0]);
+  const auto changed = ReadFaultlessInput(line->mArguments[1]);
+  if (!old || !changed) {
+    return kExitUsage;
+  }
+  const auto check = CheckSubmission(old->mDocuments, changed->mDocuments);
+  if (line->mJson) {
+    std::cout << boost::json::serialize(boost::json::object{
+                   { "safe", check.IsSafe() },
+                   { "change", ToJson(check.mForward) },
+                   { "reversal", ToJson(check.mBackward) } })
+              << '\n';
+  } else if (check.IsSafe()) {
+    std::cout << "safe, and so is the reversal\n";
+  } else {
+    PrintUnsafe("change", check.mForward);
+    PrintUnsafe("reversal", check.mBackward);
+  }
+  return check.IsSafe() ? 0 : 1;
+}
+
+} // namespace sassafrasknotctl
--- a/src/sassafrasknot/protocol/document_words.hpp
+++ b/include/sassafrasknot/protocol/document_words.hpp
@@ -26,7 +26,10 @@
   kInstanceStateWords[] = { { "live", state::InstanceState::Live },
                             { "leaving", state::InstanceState::Leaving } };
 
-/// @brief Returns the word of a value; the first one if there is none.
+/// @brief Returns the word of a value.
+/// @param aWords the words
+/// @param aValue the value
+/// @return its word; the first one if there is none
 template<typename T, std::size_t Count>
 std::string_view
 WordOf(const std::pair<std::string_view, T> (&aWords)[Count], T aValue)
--- a/src/sassafrasknot/protocol/document_decoder.cpp
+++ b/src/sassafrasknot/protocol/document_decoder.cpp
@@ -114,7 +114,8 @@
 ReadListener(Failure& aFailure,
              const value& aValue,
              std::string aPlace,
-             std::set<std::uint16_t>& aPorts)
+             std::set<std::uint16_t>& aPorts,
+             std::set<std::uint16_t>& aUpstreamPorts)
 {
   JsonReader reader(aFailure, aValue, std::move(aPlace), kListenerMembers);
   state::Listener listener;
@@ -123,6 +124,7 @@
   RequireNew(reader, aPorts, listener.mPort, "port");
   listener.mUpstreamPort = static_cast<std::uint16_t>(
     reader.Integer("upstream_port", state::kPortRange));
+  RequireNew(reader, aUpstreamPorts, listener.mUpstreamPort, "upstream_port");
   listener.mProtocol = reader.Choice(
     "protocol", kProtocolWords, std::optional(listener.mProtocol));
   listener.mFlowClass = reader.Choice("flow_class", kFlowClassWords);
@@ -143,15 +145,20 @@
   service.mName = reader.Name("name");
   RequireNew(reader, aNames, service.mName, "name");
   std::set<std::uint16_t> ports;
-  reader.Array("listeners",
-               { 1, state::kListenersPerService },
-               [&](const value& aElement, std::string aElementPlace) {
-                 service.mListeners.push_back(ReadListener(
-                   aFailure, aElement, std::move(aElementPlace), ports));
-               });
+  std::set<std::uint16_t> upstreamPorts;
+  reader.Array(
+    "listeners",
+    { 1, state::kListenersPerService },
+    [&](const value& aElement, std::string aElementPlace) {
+      service.mListeners.push_back(ReadListener(
+        aFailure, aElement, std::move(aElementPlace), ports, upstreamPorts));
+    });
   service.mSlots = ReadCount(reader, "slots", state::kSlotsRange);
   service.mConnections =
     ReadCount(reader, "connections", state::kConnectionsRange);
+  if (service.mConnections < service.mSlots) {
+    reader.Fail("connections", "must be at least the number of slots");
+  }
   service.mShards =
     ReadCount(reader, "shards", state::kShardsRange, service.mShards);
   if (reader.Has("limits")) {
--- a/src/sassafrasknot/protocol/json_scan.cpp
+++ b/src/sassafrasknot/protocol/json_scan.cpp
@@ -264,12 +264,12 @@
                        failure == json::error::too_deep
                          ? "nested deeper than " +
                              std::to_string(aMaximumDepth) + " levels"
-                         : failure.message() + " in JSON");
+                         : "is no JSON: " + failure.message());
   }
   aScan = std::move(parser.handler().mScan);
   auto tree = json::parse(aText, failure, {}, options);
   if (failure) {
-    return MalformedAt({}, failure.message() + " in JSON");
+    return MalformedAt({}, "is no JSON: " + failure.message());
   }
   return tree;
 }
--- /dev/null
+++ b/src/sassafrasknot/state/difference.cpp
@@ -0,0 +1,195 @@
+#include "sassafrasknot/state/difference.hpp"
+
+#include "sassafrasknot/state/difference_parts.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace sassafrasknot::state {
+namespace {
+
+using Organisations = std::map<OrganisationId, Organisation>;
+
+void
+CompareServices(DifferenceParts& aParts,
+                const Organisation& aOld,
+                const Organisation& aNew)
+{
+  for (const auto& service : aNew.mServices) {
+    if (std::ranges::find(aOld.mServices, service.mName, &Service::mName) ==
+        aOld.mServices.end()) {
+      AddService(aParts, service);
+    }
+  }
+  for (const auto& service : aOld.mServices) {
+    const auto found =
+      std::ranges::find(aNew.mServices, service.mName, &Service::mName);
+    if (found == aNew.mServices.end()) {
+      RemoveService(aParts, service);
+    } else {
+      CompareService(aParts, service, *found);
+    }
+  }
+}
+
+void
+CompareOrganisation(Difference& aDifference,
+                    const Organisation& aOld,
+                    const Organisation& aNew)
+{
+  DifferenceParts parts{ aDifference, aOld.mId };
+  if (aOld.mWeight != aNew.mWeight) {
+    AddChange(parts,
+              ChangeKind::WeightChanged,
+              "weight",
+              "share of an instance changes; flows stay");
+  }
+  CompareServices(parts, aOld, aNew);
+}
+
+/// Reports each endpoint whose listener changes.
+void
+CompareHolders(Difference& aDifference,
+               const Organisations& aOld,
+               const Organisations& aNew)
+{
+  const auto before = EndpointHolders(aOld);
+  const auto after = EndpointHolders(aNew);
+  for (const auto& [endpoint, holder] : before) {
+    const auto found = after.find(endpoint);
+    if (found == after.end() || found->second == holder) {
+      continue;
+    }
+    AddMove(aDifference, endpoint, holder, found->second);
+  }
+}
+
+std::map<InstanceId, ListedInstance>
+InstancesOf(const DocumentSet& aSet, std::map<InstanceId, std::string>& aKeys)
+{
+  std::map<InstanceId, ListedInstance> instances;
+  for (const auto& [dataCentre, list] : aSet.mInstances) {
+    for (const auto& instance : list.mInstances) {
+      instances[instance.mId] = instance;
+      aKeys[instance.mId] = "instances/" + dataCentre.mValue;
+    }
+  }
+  return instances;
+}
+
+void
+CompareInstances(Difference& aDifference,
+                 const DocumentSet& aOld,
+                 const DocumentSet& aNew)
+{
+  std::map<InstanceId, std::string> keys;
+  const auto before = InstancesOf(aOld, keys);
+  const auto after = InstancesOf(aNew, keys);
+  const auto add = [&](ChangeKind aKind,
+                       const InstanceId& aId,
+                       std::string aMessage) {
+    aDifference.mChanges.push_back(
+      { aKind, keys[aId], "instances/" + aId.mValue, std::move(aMessage), {} });
+  };
+  for (const auto& [id, instance] : after) {
+    const auto found = before.find(id);
+    if (found == before.end()) {
+      add(ChangeKind::InstanceAdded, id, "takes its part of the shards");
+    } else if (found->second.mState == InstanceState::Live &&
+               instance.mState == InstanceState::Leaving) {
+      add(ChangeKind::InstanceLeaving, id, "hands its shards over");
+    }
+  }
+  for (const auto& [id, instance] : before) {
+    if (!after.contains(id)) {
+      add(ChangeKind::InstanceRemoved, id, "is no longer listed");
+    }
+  }
+}
+
+std::vector<Change>
+DangersOf(const Difference& aDifference)
+{
+  std::vector<Change> dangers;
+  std::ranges::copy_if(
+    aDifference.mChanges,
+    std::back_inserter(dangers),
+    [](const Change& aChange) { return !aChange.mDanger.empty(); });
+  return dangers;
+}
+
+} // namespace
+
+Difference
+CompareOrganisations(const Organisations& aOld, const Organisations& aNew)
+{
+  Difference difference;
+  for (const auto& [id, organisation] : aNew) {
+    if (!aOld.contains(id)) {
+      DifferenceParts parts{ difference, id };
+      AddChange(parts, ChangeKind::OrganisationAdded, "", "is new");
+      CompareServices(parts, { id, organisation.mWeight, {} }, organisation);
+    }
+  }
+  for (const auto& [id, organisation] : aOld) {
+    if (const auto found = aNew.find(id); found != aNew.end()) {
+      CompareOrganisation(difference, organisation, found->second);
+    } else {
+      DifferenceParts parts{ difference, id };
+      AddChange(parts,
+                ChangeKind::OrganisationRemoved,
+                "",
+                "ends; its flows stay until they end");
+      CompareServices(parts, organisation, { id, organisation.mWeight, {} });
+    }
+  }
+  CompareHolders(difference, aOld, aNew);
+  return difference;
+}
+
+Difference
+Compare(const DocumentSet& aOld, const DocumentSet& aNew)
+{
+  auto difference = CompareOrganisations(RenderSet(aOld).mOrganisations,
+                                         RenderSet(aNew).mOrganisations);
+  CompareInstances(difference, aOld, aNew);
+  return difference;
+}
+
+SubmissionCheck
+CheckSubmission(const DocumentSet& aOld, const DocumentSet& aNew)
+{
+  return { DangersOf(Compare(aOld, aNew)), DangersOf(Compare(aNew, aOld)) };
+}
+
+std::string_view
+ToString(ChangeKind aKind)
+{
+  static constexpr std::string_view kNames[] = {
+    "organisation-added", "organisation-removed", "weight-changed",
+    "service-added",      "service-removed",      "address-changed",
+    "shards-changed",     "limits-changed",       "listener-added",
+    "listener-removed",   "listener-changed",     "upstream-added",
+    "upstream-drained",   "upstream-returned",    "upstream-removed",
+    "upstream-changed",   "endpoint-moved",       "instance-added",
+    "instance-leaving",   "instance-removed"
+  };
+  const auto index = static_cast<std::size_t>(aKind);
+  return index < std::size(kNames) ? kNames[index] : "unknown";
+}
+
+std::string_view
+ToString(FlowEffect aEffect)
+{
+  switch (aEffect) {
+    case FlowEffect::Stay:
+      return "stay";
+    case FlowEffect::StayUntilEnd:
+      return "stay-until-end";
+    case FlowEffect::Break:
+      return "break";
+  }
+  return "unknown";
+}
+
+} // namespace sassafrasknot::state
--- /dev/null
+++ b/testing/documents.cmake
@@ -0,0 +1,9 @@
+# The example documents must stay valid, and each of them serves as a safe
+# change to itself.
+foreach(name kandyan-chime krampon)
+  set(documents ${PROJECT_SOURCE_DIR}/examples/deployments/${name})
+  add_test(NAME example_documents_${name}
+    COMMAND sassafrasknotctl validate ${documents})
+  add_test(NAME example_documents_unchanged_${name}
+    COMMAND sassafrasknotctl submit-check ${documents} ${documents})
+endforeach()
