Add the platform client and a stand-in for the platform

Cause: the daemon must read and watch the configuration service, which may be down, stale, slow, limited or faulty for long periods.

Change: transport gains PlatformClient on Beast (full read, blocking watch, endpoints in turn, timeouts, size limit) and BackOff with full jitter from an injected seed. testing/stand_ins gains sassafrasknot-test-platform, which serves a folder, numbers revisions and can answer stale, fail, limit, hang or malformed.

Decisions where the design is silent: a call tries each endpoint once and reports its failure; the next call then waits for its back-off, so that the caller learns of failures at once. Status 429 ends a call without trying other endpoints.

--- /dev/null
+++ b/testing/stand_ins/platform_client_test.cpp
@@ -0,0 +1,197 @@
+#include "sassafrasknot/transport/platform_client.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <optional>
+
+#include "platform_server.hpp"
+#include <boost/asio/steady_timer.hpp>
+#include <gmock/gmock.h>
+#include <unistd.h>
+
+namespace stand_ins {
+namespace {
+
+namespace fs = std::filesystem;
+using namespace std::chrono_literals;
+using sassafrasknot::protocol::PlatformAnswer;
+using sassafrasknot::transport::PlatformClient;
+using sassafrasknot::transport::PlatformClientSettings;
+using state::ErrorCode;
+using Clock = std::chrono::steady_clock;
+
+constexpr state::Endpoint kAnyPort{ { 0x7F000001 }, 0 };
+/// Nothing listens on the discard port of this address.
+constexpr state::Endpoint kClosed{ { 0x7F000001 }, 9 };
+
+class PlatformClientTest : public testing::Test
+{
+protected:
+  PlatformClientTest()
+    : mFolder(fs::temp_directory_path() /
+              ("sassafrasknot-platform-" + std::to_string(getpid())))
+  {
+    Write("dc1", "127.20.0.1");
+    mServer.emplace(mContext, kAnyPort, mFolder);
+    mSettings.mEndpoints = { mServer->ListensAt() };
+    mSettings.mAnswerTimeout = 200ms;
+    mSettings.mFirstBackOff = 1ms;
+  }
+  ~PlatformClientTest() override { fs::remove_all(mFolder); }
+
+  void Write(const std::string& aName, const std::string& aAddress)
+  {
+    fs::create_directories(mFolder / "upstreams");
+    std::ofstream(mFolder / "upstreams" / (aName + ".json"))
+      << R"({"upstreams":[{"address":")" << aAddress << "\"}]}";
+  }
+
+  /// Runs a call and then the context until the call has ended.
+  template<typename Call>
+  state::Result<PlatformAnswer> Finish(const Call& aCall)
+  {
+    std::optional<state::Result<PlatformAnswer>> result;
+    aCall([&](auto aResult) {
+      EXPECT_FALSE(result.has_value());
+      result = std::move(aResult);
+    });
+    EXPECT_FALSE(result.has_value());
+    mContext.restart();
+    const auto deadline = Clock::now() + 10s;
+    while (!result && Clock::now() < deadline) {
+      mContext.run_one_for(10ms);
+    }
+    return result.value();
+  }
+
+  state::Result<PlatformAnswer> Read(PlatformClient& aClient)
+  {
+    return Finish([&](auto aHandler) { aClient.Read(aHandler); });
+  }
+
+  PlatformClient MakeClient() { return { mContext.get_executor(), mSettings }; }
+
+  fs::path mFolder;
+  boost::asio::io_context mContext;
+  std::optional<PlatformServer> mServer;
+  PlatformClientSettings mSettings;
+};
+
+// Guards against a watch that misses a change, wakes without one, or blocks
+// longer than it was asked to.
+TEST_F(PlatformClientTest, WatchEndsWithAChangeOrWithItsWait)
+{
+  auto client = MakeClient();
+  const auto first = Read(client);
+  ASSERT_TRUE(first.has_value()) << first.error().mMessage;
+  EXPECT_TRUE(first.value().mFull);
+  EXPECT_EQ(first.value().mRevision, 1U);
+  ASSERT_EQ(first.value().mRecords.size(), 1U);
+  EXPECT_NE(first.value().mRecords[0].mDocument, nullptr);
+
+  const auto start = Clock::now();
+  const auto idle =
+    Finish([&](auto aHandler) { client.Watch(1, 1s, aHandler); });
+  EXPECT_TRUE(idle.value().mRecords.empty());
+  EXPECT_FALSE(idle.value().mFull);
+  EXPECT_GE(Clock::now() - start, 1s);
+
+  boost::asio::steady_timer timer(mContext, 50ms);
+  timer.async_wait([&](auto) { Write("dc2", "127.20.0.2"); });
+  const auto changed =
+    Finish([&](auto aHandler) { client.Watch(1, 30s, aHandler); });
+  ASSERT_EQ(changed.value().mRecords.size(), 1U);
+  EXPECT_EQ(changed.value().mRecords[0].mKey, "upstreams/dc2");
+  EXPECT_EQ(changed.value().mRevision, 2U);
+
+  fs::remove(mFolder / "upstreams" / "dc1.json");
+  const auto deleted =
+    Finish([&](auto aHandler) { client.Watch(2, 30s, aHandler); });
+  ASSERT_EQ(deleted.value().mRecords.size(), 1U);
+  EXPECT_TRUE(deleted.value().mRecords[0].mDeleted);
+}
+
+// Guards against a client that gives up, or goes on asking a dead endpoint
+// first, although another one answers.
+TEST_F(PlatformClientTest, TriesEndpointsInTurnAndStaysWithOneThatAnswers)
+{
+  mSettings.mEndpoints.insert(mSettings.mEndpoints.begin(), 2, kClosed);
+  auto client = MakeClient();
+  EXPECT_TRUE(Read(client).has_value());
+  EXPECT_TRUE(Read(client).has_value());
+  EXPECT_EQ(mServer->Requests(), 2U);
+}
+
+// Guards against failures of the platform that are not reported, hang the
+// client or end it.
+TEST_F(PlatformClientTest, ReportsFailuresAndRecovers)
+{
+  auto client = MakeClient();
+  const std::pair<PlatformMode, ErrorCode> rows[] = {
+    { PlatformMode::Fail, ErrorCode::Unavailable },
+    { PlatformMode::Limit, ErrorCode::Overloaded },
+    { PlatformMode::Hang, ErrorCode::DeadlineExceeded },
+    { PlatformMode::Malformed, ErrorCode::Malformed }
+  };
+  for (const auto& [mode, code] : rows) {
+    mServer->SetControl({ mode, 0ms });
+    const auto result = Read(client);
+    ASSERT_FALSE(result.has_value());
+    EXPECT_EQ(result.error().mCode, code) << result.error().mMessage;
+  }
+  mServer->SetControl({});
+  EXPECT_TRUE(Read(client).has_value());
+  mSettings.mAnswerBytes = 50;
+  auto small = MakeClient();
+  EXPECT_EQ(Read(small).error().mCode, ErrorCode::Unavailable);
+}
+
+// Guards against many endpoints that are all asked at once by a fleet whose
+// reads the platform already limits.
+TEST_F(PlatformClientTest, DoesNotTryOtherEndpointsWhenLimited)
+{
+  mSettings.mEndpoints.assign(5, mServer->ListensAt());
+  mServer->SetControl({ PlatformMode::Limit, 0ms });
+  auto client = MakeClient();
+  EXPECT_EQ(Read(client).error().mCode, ErrorCode::Overloaded);
+  EXPECT_EQ(mServer->Requests(), 1U);
+}
+
+// Guards against a stand-in that forgets what it served before it went stale.
+TEST_F(PlatformClientTest, StaleAnswersShowTheEarlierRevision)
+{
+  auto client = MakeClient();
+  Write("dc2", "127.20.0.2");
+  mServer->Reload();
+  EXPECT_EQ(Read(client).value().mRevision, 2U);
+  mServer->SetControl({ PlatformMode::Serve, 60s });
+  EXPECT_EQ(Read(client).value().mRevision, 1U);
+}
+
+// Guards against handlers that are lost or called twice when the daemon stops
+// during a watch, a back-off or before a call has begun.
+TEST_F(PlatformClientTest, StopEndsEachCallOnce)
+{
+  auto client = MakeClient();
+  boost::asio::steady_timer timer(mContext, 50ms);
+  timer.async_wait([&](auto) { client.Stop(); });
+  const auto watch =
+    Finish([&](auto aHandler) { client.Watch(1, 60s, aHandler); });
+  EXPECT_EQ(watch.error().mCode, ErrorCode::Unavailable);
+  EXPECT_EQ(Read(client).error().mCode, ErrorCode::Unavailable);
+
+  mSettings.mEndpoints = { kClosed };
+  mSettings.mFirstBackOff = mSettings.mLongestBackOff = 1h;
+  std::optional<PlatformClient> waiting(MakeClient());
+  EXPECT_FALSE(Read(*waiting).has_value());
+  const auto start = Clock::now();
+  const auto ended = Finish([&](auto aHandler) {
+    waiting->Read(aHandler);
+    waiting.reset();
+  });
+  EXPECT_FALSE(ended.has_value());
+  EXPECT_LT(Clock::now() - start, 5s);
+}
+
+} // namespace
+} // namespace stand_ins
--- /dev/null
+++ b/testing/stand_ins/platform_main.cpp
@@ -0,0 +1,63 @@
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <type_traits>
+
+#include "platform_server.hpp"
+#include <boost/asio/signal_set.hpp>
+#include <popt.h>
+
+namespace {
+
+constexpr const char* kName = "sassafrasknot-test-platform";
+
+int
+Serve(const char* aListen, const char* aFolder, double aStaleSeconds)
+{
+  const auto listen =
+    stand_ins::state::ParseEndpoint(aListen == nullptr ? "" : aListen);
+  if (!listen || aFolder == nullptr || aStaleSeconds < 0) {
+    std::cerr << kName << ": wants --listen IP:PORT and --documents FOLDER\n";
+    return 2;
+  }
+  boost::asio::io_context context;
+  stand_ins::PlatformServer server(context, listen.value(), aFolder);
+  stand_ins::PlatformControl control;
+  control.mStale =
+    std::chrono::milliseconds(static_cast<std::int64_t>(aStaleSeconds * 1000));
+  server.SetControl(control);
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](const auto&, int) { context.stop(); });
+  context.run();
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aArgc, const char** aArgv)
+{
+  const char* listen = nullptr;
+  const char* folder = nullptr;
+  double stale = 0;
+  const poptOption options[] = {
+    { "listen", '\0', POPT_ARG_STRING, &listen, 0, "TCP address", "IP:PORT" },
+    { "documents", '\0', POPT_ARG_STRING, &folder, 0, "what is served", "DIR" },
+    { "stale", '\0', POPT_ARG_DOUBLE, &stale, 0, "age of answers", "SECONDS" },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  const std::unique_ptr<std::remove_pointer_t<poptContext>,
+                        poptContext (*)(poptContext)>
+    context(poptGetContext(kName, aArgc, aArgv, options, 0), poptFreeContext);
+  if (const int code = poptGetNextOpt(context.get()); code < -1) {
+    std::cerr << kName << ": " << poptBadOption(context.get(), 0) << ": "
+              << poptStrerror(code) << '\n';
+    return 2;
+  }
+  try {
+    return Serve(listen, folder, stale);
+  } catch (const std::exception& error) {
+    std::cerr << kName << ": " << error.what() << '\n';
+    return 1;
+  }
+}
