--- a/src/sassafrasknot/coordination/shard_property_test.cpp
+++ b/src/sassafrasknot/coordination/shard_property_test.cpp
@@ -160,6 +160,17 @@
   UpdateShard(*aModel.mShard, table, {}, aModel.mNow);
 }
 
+void
+FailRepeatedly(Model& aModel)
+{
+  const auto count =
+    static_cast<std::uint32_t>(aModel.mTable.mUpstreams.size());
+  const auto upstream = *rc::gen::inRange<std::uint32_t>(1, count + 1);
+  for (int failure = 0; failure < 5; ++failure) {
+    OnFailed(*aModel.mShard, { upstream }, FailureKind::NoAnswer, aModel.mNow);
+  }
+}
+
 void
 CancelOne(Model& aModel)
 {
@@ -210,7 +221,7 @@
   auto model = MakeModel();
   const auto steps = *rc::gen::inRange(1, 300);
   for (int step = 0; step < steps; ++step) {
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 13)) {
       case 0:
         ChangeTable(model);
         break;
@@ -218,13 +229,16 @@
         CancelOne(model);
         break;
       case 2:
+        FailRepeatedly(model);
+        break;
       case 3:
+      case 4:
         model.mNow += *rc::gen::inRange(10, 3000) * 1ms;
         Serve(model);
         break;
-      case 4:
       case 5:
       case 6:
+      case 7:
         EndOne(model);
         break;
       default:
--- a/src/sassafrasknot/coordination/shard_test.cpp
+++ b/src/sassafrasknot/coordination/shard_test.cpp
@@ -267,6 +267,48 @@
   EXPECT_EQ(UpstreamOf(PlaceNext(fixture, FlowClass::Work, 1)), 2);
 }
 
+// Guards against a table that shrinks while an upstream is ejected: the rest
+// would then be above the cap.
+TEST(Shard, EndsEjectionsAboveTheCapOfASmallerTable)
+{
+  auto fixture = MakeFixture(MakeTable(3, 2));
+  FailUntilOut(fixture, 1, kStart);
+  EXPECT_FALSE(StatusOf(*fixture.mShard, kStart).mUpstreams[0].mEligible);
+  UpdateShard(*fixture.mShard, MakeTable(2, 2), {}, kStart);
+  EXPECT_TRUE(StatusOf(*fixture.mShard, kStart).mUpstreams[0].mEligible);
+}
+
+// Guards against a new flow that takes a freed slot before the queue is
+// served.
+TEST(Shard, NewWorkDoesNotOvertakeTheQueue)
+{
+  auto fixture = MakeFixture(MakeTable(1, 1));
+  PlaceNext(fixture, FlowClass::Work);
+  PlaceNext(fixture, FlowClass::Work);
+  OnEnded(*fixture.mShard, { 1 }, FlowClass::Work, kStart, kStart + 1ms);
+  EXPECT_TRUE(std::holds_alternative<Queued>(
+    PlaceNext(fixture, FlowClass::Work, 1, kStart + 1ms)));
+  const auto served = ServeQueue(*fixture.mShard, kStart + 1ms);
+  ASSERT_EQ(served.size(), 1);
+  EXPECT_EQ(std::get<Placed>(served[0]).mFlow, 1);
+}
+
+// Guards against short work that takes each freed slot before queued long work
+// whose share is not used up: it would wait until its deadline.
+TEST(Shard, NewWorkDoesNotOvertakeLongWorkWithinItsShare)
+{
+  auto fixture = MakeFixture(MakeTable(1, 2));
+  PlaceNext(fixture, FlowClass::Work);
+  PlaceNext(fixture, FlowClass::Work);
+  PlaceNext(fixture, FlowClass::Long);
+  OnEnded(*fixture.mShard, { 1 }, FlowClass::Work, kStart, kStart + 1ms);
+  EXPECT_TRUE(std::holds_alternative<Queued>(
+    PlaceNext(fixture, FlowClass::Work, 1, kStart + 1ms)));
+  const auto served = ServeQueue(*fixture.mShard, kStart + 1ms);
+  ASSERT_EQ(served.size(), 1);
+  EXPECT_EQ(std::get<Placed>(served[0]).mFlow, 2);
+}
+
 // Guards against an account that is lost when the table drops an upstream
 // whose flows are open, and against one that a late end makes negative.
 TEST(Shard, AccountsOutliveTheTable)
--- a/testing/measure/scenarios.cpp
+++ b/testing/measure/scenarios.cpp
@@ -242,8 +242,7 @@
               { "layout", layout.mName } },
             { { "max_over_mean",
                 Mean(result.mLoads, &LoadSample::mMaximumOverMean) },
-              { "deviation",
-                Mean(result.mLoads, &LoadSample::mDeviation) },
+              { "deviation", Mean(result.mLoads, &LoadSample::mDeviation) },
               { "exceptions", PartOf(result.mExceptions, result.mPlaced) },
               { "moved", PartOf(result.mMoved, result.mPlaced) } } });
       }
