--- /dev/null
+++ b/src/sassafrasknot/transport/traffic_pool_test.cpp
@@ -0,0 +1,186 @@
+#include "sassafrasknot/protocol/packet.hpp"
+#include "sassafrasknot/transport/traffic_pool.hpp"
+
+#include <array>
+#include <future>
+
+#include "test_snapshot.hpp"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <gtest/gtest.h>
+#include <poll.h>
+
+namespace sassafrasknot::transport {
+namespace {
+
+using boost::asio::ip::udp;
+using protocol::Bytes;
+
+/// A loopback socket that stands for the fabric.
+class Fabric
+{
+public:
+  Fabric()
+    : mSocket(mContext,
+              udp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+  {
+  }
+
+  state::Endpoint Local() const
+  {
+    return { { 0x7F000001 }, mSocket.local_endpoint().port() };
+  }
+
+  void Send(const state::Endpoint& aTo, const Bytes& aBytes)
+  {
+    mSocket.send_to(boost::asio::buffer(aBytes),
+                    { boost::asio::ip::address_v4::loopback(), aTo.mPort });
+  }
+
+  /// Returns the next datagram, or an empty one after a second.
+  Bytes Receive()
+  {
+    pollfd ready{ mSocket.native_handle(), POLLIN, 0 };
+    if (poll(&ready, 1, 1000) != 1) {
+      return {};
+    }
+    Bytes bytes(2048);
+    bytes.resize(mSocket.receive(boost::asio::buffer(bytes)));
+    return bytes;
+  }
+
+private:
+  boost::asio::io_context mContext;
+  udp::socket mSocket;
+};
+
+std::unique_ptr<TrafficPool>
+StartPool(const state::Endpoint& aListen,
+          const state::Endpoint& aFabric,
+          std::shared_ptr<state::Snapshot> aSnapshot,
+          std::size_t aThreads)
+{
+  TrafficOptions options;
+  options.mListen = aListen;
+  options.mFabric = aFabric;
+  options.mThreads = aThreads;
+  auto pool = TrafficPool::Start(options, {}, std::move(aSnapshot));
+  EXPECT_TRUE(pool.has_value());
+  return std::move(pool).value();
+}
+
+Bytes
+Open(std::uint16_t aPort)
+{
+  protocol::PacketHeader header;
+  header.mSource = { { 0x0A000200 }, aPort };
+  header.mDestination = kTestService;
+  header.mSyn = true;
+  return protocol::BuildPacket(header, {});
+}
+
+TrafficReport
+Collect(TrafficPool& aPool)
+{
+  std::promise<TrafficReport> report;
+  aPool.Collect(
+    [&](TrafficReport aReport) { report.set_value(std::move(aReport)); });
+  return report.get_future().get();
+}
+
+// Guards against packets that do not reach the fabric rewritten, in either
+// direction, through one instance with several threads and through two.
+TEST(TrafficPool, RewritesBothDirections)
+{
+  for (const std::size_t instances : { 1, 2 }) {
+    Fabric fabric;
+    std::vector<state::InstanceView> views;
+    for (std::size_t index = 0; index < instances; ++index) {
+      views.push_back(
+        MakeTestInstance("i" + std::to_string(index), Fabric().Local()));
+    }
+    std::vector<std::unique_ptr<TrafficPool>> pools;
+    for (std::size_t index = 0; index < instances; ++index) {
+      pools.push_back(StartPool(views[index].mPeerEndpoint,
+                                fabric.Local(),
+                                MakeTestSnapshot(views, index),
+                                3));
+    }
+    fabric.Send(views[0].mPeerEndpoint, Open(1024));
+    auto bytes = fabric.Receive();
+    const auto towards = protocol::ParsePacket(bytes);
+    ASSERT_TRUE(towards.has_value());
+    const auto upstream = towards.value().mHeader.mDestination;
+    EXPECT_EQ(upstream.mPort, kTestUpstream.mPort);
+    EXPECT_EQ(towards.value().mHeader.mSource.mPort, 1024);
+
+    auto answer = towards.value().mHeader;
+    std::swap(answer.mSource, answer.mDestination);
+    answer.mAck = true;
+    fabric.Send(views[0].mPeerEndpoint, protocol::BuildPacket(answer, {}));
+    bytes = fabric.Receive();
+    const auto back = protocol::ParsePacket(bytes);
+    ASSERT_TRUE(back.has_value());
+    EXPECT_EQ(back.value().mHeader.mSource, kTestService);
+  }
+}
+
+// Guards against hostile datagrams that end the process or are not counted.
+TEST(TrafficPool, CountsDropsByReason)
+{
+  Fabric fabric;
+  const auto endpoint = Fabric().Local();
+  auto pool =
+    StartPool(endpoint,
+              fabric.Local(),
+              MakeTestSnapshot({ MakeTestInstance("a", endpoint) }, 0),
+              1);
+  auto unknown = Open(1);
+  protocol::RewriteDestination(unknown, { { 0x0A0000FF }, 80 });
+  fabric.Send(endpoint, unknown);
+  fabric.Send(endpoint, { 0x45, 0 });
+  fabric.Send(endpoint, { 0x01, 0xFF, 0xFF });
+  fabric.Send(endpoint, Open(1024));
+  ASSERT_FALSE(fabric.Receive().empty());
+  const auto counters = Collect(*pool).mCounters;
+  EXPECT_EQ(state::ValueOf(counters, "packets_dropped_unknown_total"), 1);
+  EXPECT_EQ(state::ValueOf(counters, "packets_dropped_truncated_total"), 1);
+  EXPECT_EQ(state::ValueOf(counters, "peer_messages_dropped_malformed_total"),
+            1);
+}
+
+// Guards against two processes that silently share the datagrams of one port.
+TEST(TrafficPool, RefusesAnEndpointInUse)
+{
+  Fabric fabric;
+  TrafficOptions options;
+  options.mListen = fabric.Local();
+  options.mFabric = fabric.Local();
+  options.mThreads = 2;
+  const auto pool = TrafficPool::Start(
+    options, {}, MakeTestSnapshot({ MakeTestInstance("a", {}) }, 0));
+  ASSERT_FALSE(pool.has_value());
+  EXPECT_EQ(pool.error().mCode, state::ErrorCode::Unavailable);
+}
+
+// Guards against packets from before a pause that are sent after it with the
+// placement of that time.
+TEST(TrafficPool, DropsPacketsWithoutHeartbeat)
+{
+  Fabric fabric;
+  TrafficOptions options;
+  options.mListen = Fabric().Local();
+  options.mFabric = fabric.Local();
+  options.mStallLimit = std::chrono::milliseconds(1);
+  auto pool = TrafficPool::Start(
+    options, {}, MakeTestSnapshot({ MakeTestInstance("a", {}) }, 0));
+  ASSERT_TRUE(pool.has_value());
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  fabric.Send(options.mListen, Open(1024));
+  EXPECT_TRUE(fabric.Receive().empty());
+  const auto counters = Collect(*pool.value()).mCounters;
+  EXPECT_EQ(state::ValueOf(counters, "packets_dropped_stalled_total"), 1);
+}
+
+} // namespace
+} // namespace sassafrasknot::transport
--- /dev/null
+++ b/testing/measure/path.cpp
@@ -0,0 +1,224 @@
+// Measures packets per second and added latency of the packet path on
+// loopback, through one instance and through two (one forwarding hop).
+
+#include "sassafrasknot/protocol/packet.hpp"
+#include "sassafrasknot/transport/test_snapshot.hpp"
+#include "sassafrasknot/transport/traffic_pool.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+namespace {
+
+using namespace sassafrasknot;
+using boost::asio::ip::udp;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::uint32_t kLoopback = 0x7F000001;
+constexpr std::uint16_t kFlows = 256;
+constexpr std::size_t kPayload = 200;
+constexpr std::size_t kWindow = 128;
+constexpr std::size_t kSamples = 10000;
+constexpr std::chrono::seconds kThroughputTime{ 2 };
+
+state::Endpoint
+ToState(const udp::endpoint& aEndpoint)
+{
+  return { { aEndpoint.address().to_v4().to_uint() }, aEndpoint.port() };
+}
+
+/// A loopback socket whose receive gives up after 100 ms.
+class Socket
+{
+public:
+  Socket()
+    : mSocket(mContext,
+              udp::endpoint(boost::asio::ip::address_v4(kLoopback), 0))
+  {
+    const timeval limit{ 0, 100000 };
+    setsockopt(
+      mSocket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+
+  state::Endpoint Local() const { return ToState(mSocket.local_endpoint()); }
+
+  void Send(const state::Endpoint& aTo, const protocol::Bytes& aBytes)
+  {
+    mSocket.send_to(
+      boost::asio::buffer(aBytes),
+      { boost::asio::ip::address_v4(aTo.mAddress.mValue), aTo.mPort });
+  }
+
+  bool Receive()
+  {
+    // Asio's receive would wait beyond the socket's limit.
+    return recv(mSocket.native_handle(), mBuffer.data(), mBuffer.size(), 0) >=
+           0;
+  }
+
+private:
+  boost::asio::io_context mContext;
+  udp::socket mSocket;
+  std::array<std::uint8_t, 2048> mBuffer{};
+};
+
+protocol::Bytes
+MakePacket(std::uint16_t aFlow, bool aOpen)
+{
+  protocol::PacketHeader header;
+  header.mSource = { { 0x0A000200 }, static_cast<std::uint16_t>(1024 + aFlow) };
+  header.mDestination = transport::kTestService;
+  header.mSyn = aOpen;
+  header.mAck = !aOpen;
+  header.mSequence = aOpen ? 999 : 1000;
+  return protocol::BuildPacket(header,
+                               protocol::Bytes(aOpen ? 0 : kPayload, 0x55));
+}
+
+struct Path
+{
+  Socket& mSender;
+  Socket& mFabric;
+  state::Endpoint mEntry;
+  const std::vector<protocol::Bytes>& mPackets;
+};
+
+/// Sends with a bounded number of packets in flight.
+double
+PacketsPerSecond(const Path& aPath, std::size_t& aLost)
+{
+  std::size_t sent = 0;
+  std::size_t inFlight = 0;
+  std::size_t received = 0;
+  const auto start = Clock::now();
+  while (Clock::now() - start < kThroughputTime) {
+    while (inFlight < kWindow) {
+      aPath.mSender.Send(aPath.mEntry, aPath.mPackets[sent % kFlows]);
+      ++sent;
+      ++inFlight;
+    }
+    for (std::size_t count = 0; count < kWindow / 2; ++count) {
+      if (!aPath.mFabric.Receive()) {
+        aLost += inFlight;
+        inFlight = 0;
+        break;
+      }
+      ++received;
+      --inFlight;
+    }
+  }
+  const std::chrono::duration<double> elapsed = Clock::now() - start;
+  while (inFlight > 0 && aPath.mFabric.Receive()) {
+    --inFlight;
+  }
+  aLost += inFlight;
+  return static_cast<double>(received) / elapsed.count();
+}
+
+struct Latency
+{
+  double mP50 = 0;
+  double mP99 = 0;
+};
+
+/// Sends one packet at a time; in microseconds.
+Latency
+MeasureLatency(const Path& aPath)
+{
+  std::vector<double> samples;
+  for (std::size_t index = 0; index < kSamples; ++index) {
+    const auto start = Clock::now();
+    aPath.mSender.Send(aPath.mEntry, aPath.mPackets[index % kFlows]);
+    if (aPath.mFabric.Receive()) {
+      const std::chrono::duration<double, std::micro> elapsed =
+        Clock::now() - start;
+      samples.push_back(elapsed.count());
+    }
+  }
+  if (samples.empty()) {
+    return {};
+  }
+  std::ranges::sort(samples);
+  return { samples[samples.size() / 2], samples[samples.size() * 99 / 100] };
+}
+
+void
+OpenFlows(const Path& aPath)
+{
+  for (std::uint16_t flow = 0; flow < kFlows; ++flow) {
+    aPath.mSender.Send(aPath.mEntry, MakePacket(flow, true));
+    aPath.mFabric.Receive();
+  }
+}
+
+void
+Measure(const char* aName, const Path& aPath, const Latency& aDirect)
+{
+  std::size_t lost = 0;
+  const auto latency = MeasureLatency(aPath);
+  const auto rate = PacketsPerSecond(aPath, lost);
+  std::printf("path=%s packets_per_second=%.0f lost=%zu "
+              "added_p50_us=%.1f added_p99_us=%.1f\n",
+              aName,
+              rate,
+              lost,
+              latency.mP50 - aDirect.mP50,
+              latency.mP99 - aDirect.mP99);
+}
+
+} // namespace
+
+int
+main()
+{
+  Socket sender;
+  Socket fabric;
+  std::vector<protocol::Bytes> packets;
+  for (std::uint16_t flow = 0; flow < kFlows; ++flow) {
+    packets.push_back(MakePacket(flow, false));
+  }
+  const Path direct{ sender, fabric, fabric.Local(), packets };
+  const auto directLatency = MeasureLatency(direct);
+  std::printf("path=direct p50_us=%.1f p99_us=%.1f\n",
+              directLatency.mP50,
+              directLatency.mP99);
+
+  for (const std::size_t instances : { 1, 2 }) {
+    std::vector<state::InstanceView> views;
+    for (std::size_t index = 0; index < instances; ++index) {
+      // The port is free: it was the sender's choice of the kernel a moment
+      // ago.
+      const auto endpoint = Socket().Local();
+      views.push_back(
+        transport::MakeTestInstance("i" + std::to_string(index), endpoint));
+    }
+    std::vector<std::unique_ptr<transport::TrafficPool>> pools;
+    for (std::size_t index = 0; index < instances; ++index) {
+      transport::TrafficOptions options;
+      options.mListen = views[index].mPeerEndpoint;
+      options.mFabric = fabric.Local();
+      auto pool = transport::TrafficPool::Start(
+        options, {}, transport::MakeTestSnapshot(views, index));
+      if (!pool) {
+        std::fprintf(stderr, "%s\n", pool.error().mMessage.c_str());
+        return 1;
+      }
+      pools.push_back(std::move(pool).value());
+    }
+    const Path path{ sender, fabric, views[0].mPeerEndpoint, packets };
+    OpenFlows(path);
+    Measure(instances == 1 ? "one-instance" : "one-hop", path, directLatency);
+  }
+  return 0;
+}
