Add the load command and its user-space TCP

Cause: the design needs open-loop load whose callers see each broken, misrouted or repeated flow. Kernel sockets cannot be spread over instances by the fabric stand-in, so the callers build their own packets.

--- /dev/null
+++ b/apps/sassafrasknotctl/caller_set.cpp
@@ -0,0 +1,196 @@
+#include "caller_set.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace sassafrasknotctl {
+
+namespace {
+
+// Ports 10000 to 59999 of each caller address are used.
+constexpr std::uint64_t kPortsPerAddress = 50000;
+constexpr std::uint64_t kFirstPort = 10000;
+
+// A finished flow still acknowledges a repeated FIN for this long.
+constexpr std::chrono::seconds kLinger{ 3 };
+
+std::string
+NameOf(const LoadTarget& aTarget)
+{
+  return std::string(ToString(aTarget.mKind)) + ' ' + aTarget.mOrganisation +
+         '/' + aTarget.mService;
+}
+
+void
+Collect(CallerSet& aSet, RunningCaller& aRunning, state::TimePoint aNow)
+{
+  auto& connection = aRunning.mCaller.mConnection;
+  std::ranges::move(connection.mOutput, std::back_inserter(aSet.mOutput));
+  connection.mOutput.clear();
+  if (connection.mState == TcpState::Ended && !aRunning.mForget) {
+    AddFlow(aSet.mReport.mTargets[aRunning.mTarget], aRunning.mCaller);
+    aRunning.mForget =
+      connection.mEnd == TcpEnd::Finished ? aNow + kLinger : aNow;
+  }
+  const auto wake =
+    aRunning.mForget ? aRunning.mForget : NextWake(aRunning.mCaller);
+  if (wake && (!aRunning.mWake || *wake < *aRunning.mWake)) {
+    aRunning.mWake = wake;
+    Schedule(aSet.mWakes, *wake, connection.mLocal);
+  }
+}
+
+CallerPlan
+PlanCaller(CallerSet& aSet, const LoadTarget& aTarget, state::TimePoint aDue)
+{
+  const auto& plan = aSet.mPlan;
+  const auto number = aSet.mOpenedCallers++;
+  std::uniform_real_distribution<> uniform;
+  CallerPlan caller;
+  caller.mRequest.mId = (plan.mSeed << 32) + number;
+  caller.mRequest.mKind = aTarget.mKind;
+  caller.mRequest.mOrganisation = aTarget.mOrganisation;
+  caller.mRequest.mService = aTarget.mService;
+  caller.mRequest.mPeriod = plan.mPeriod;
+  if (aTarget.mKind == FlowKind::Upload) {
+    caller.mRequest.mBytes = plan.mUploadBytes;
+  }
+  if (aTarget.mKind != FlowKind::Feed &&
+      uniform(aSet.mRandom) < plan.mStragglerShare) {
+    caller.mRequest.mFactor = plan.mStragglerFactor;
+  }
+  caller.mCaller = { { plan.mFirstCaller.mValue + static_cast<std::uint32_t>(
+                                                    number / kPortsPerAddress) },
+                     static_cast<std::uint16_t>(kFirstPort +
+                                                number % kPortsPerAddress) };
+  caller.mService = aTarget.mListener;
+  caller.mDue = aDue;
+  caller.mFeedLength = plan.mFeedLength;
+  if (plan.mFeedLength.count() == 0) {
+    caller.mFeedLength = std::max(
+      std::chrono::milliseconds{},
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        aSet.mBegin + plan.mLength - aDue));
+  }
+  caller.mPatience = plan.mPatience;
+  caller.mInitialSequence = static_cast<std::uint32_t>(aSet.mRandom());
+  return caller;
+}
+
+void
+OpenDue(CallerSet& aSet, state::TimePoint aNow)
+{
+  for (std::size_t i = 0; i < aSet.mArrivals.size(); ++i) {
+    auto& arrivals = aSet.mArrivals[i];
+    while (arrivals.mNext <= aNow - aSet.mBegin &&
+           arrivals.mNext < aSet.mPlan.mLength) {
+      const auto& target = aSet.mPlan.mTargets[i];
+      const auto plan =
+        PlanCaller(aSet, target, aSet.mBegin + arrivals.mNext);
+      const auto [entry, added] = aSet.mCallers.emplace(
+        plan.mCaller,
+        RunningCaller{ OpenCaller(plan, aNow), NameOf(target), {}, {} });
+      Collect(aSet, entry->second, aNow);
+      Advance(arrivals);
+    }
+  }
+}
+
+} // namespace
+
+CallerSet
+MakeCallerSet(const LoadPlan& aPlan, state::TimePoint aNow)
+{
+  CallerSet set;
+  set.mPlan = aPlan;
+  set.mBegin = aNow;
+  set.mRandom.seed(aPlan.mSeed);
+  set.mReport.mSeed = aPlan.mSeed;
+  for (const auto& target : aPlan.mTargets) {
+    set.mArrivals.push_back(
+      MakeArrivals(target.mRate, aPlan.mCrest, set.mRandom()));
+  }
+  return set;
+}
+
+void
+OnDatagram(CallerSet& aSet,
+           std::span<const std::uint8_t> aBytes,
+           state::TimePoint aNow)
+{
+  const auto packet = protocol::ParsePacket(aBytes);
+  if (!packet) {
+    return;
+  }
+  const auto& header = packet.value().mHeader;
+  const auto found = aSet.mCallers.find(header.mDestination);
+  if (found == aSet.mCallers.end() ||
+      found->second.mCaller.mPlan.mService != header.mSource) {
+    if (auto reset = ResetOf(header, packet.value().mPayload.size())) {
+      aSet.mOutput.push_back(std::move(*reset));
+    }
+    return;
+  }
+  OnPacket(found->second.mCaller, packet.value(), aNow);
+  Collect(aSet, found->second, aNow);
+}
+
+void
+OnTick(CallerSet& aSet, state::TimePoint aNow)
+{
+  OpenDue(aSet, aNow);
+  while (const auto due = TakeDue(aSet.mWakes, aNow)) {
+    const auto found = aSet.mCallers.find(due->second);
+    if (found == aSet.mCallers.end() || found->second.mWake != due->first) {
+      continue;
+    }
+    auto& running = found->second;
+    if (running.mForget && *running.mForget <= aNow) {
+      aSet.mCallers.erase(found);
+      continue;
+    }
+    running.mWake.reset();
+    OnTick(running.mCaller, aNow);
+    Collect(aSet, running, aNow);
+  }
+}
+
+void
+StopArrivals(CallerSet& aSet, state::TimePoint aNow)
+{
+  aSet.mPlan.mLength = std::min(
+    aSet.mPlan.mLength,
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aSet.mBegin));
+  for (auto& [endpoint, running] : aSet.mCallers) {
+    running.mCaller.mPlan.mFeedLength = {};
+    Collect(aSet, running, aNow);
+  }
+}
+
+bool
+Finished(const CallerSet& aSet, state::TimePoint aNow)
+{
+  const auto end = aSet.mBegin + aSet.mPlan.mLength;
+  if (aNow < end) {
+    return false;
+  }
+  return aNow >= end + aSet.mPlan.mFinish ||
+         std::ranges::all_of(aSet.mCallers, [](const auto& aEntry) {
+           return aEntry.second.mForget.has_value();
+         });
+}
+
+LoadReport
+FinishReport(const CallerSet& aSet)
+{
+  auto report = aSet.mReport;
+  for (const auto& [endpoint, running] : aSet.mCallers) {
+    if (!running.mForget) {
+      AddFlow(report.mTargets[running.mTarget], running.mCaller);
+    }
+  }
+  return report;
+}
+
+} // namespace sassafrasknotctl
--- a/apps/sassafrasknotctl/commands.cpp
+++ b/apps/sassafrasknotctl/commands.cpp
@@ -1,12 +1,19 @@
 #include "commands.hpp"
 
+#include "load_command.hpp"
+
+#include <array>
+
 namespace sassafrasknotctl {
 
 std::span<const Command>
 Commands()
 {
   // Each command has a source file of its own in this folder.
-  return {};
+  static constexpr std::array kCommands{
+    Command{ "load", "open flows and check their answers", RunLoad },
+  };
+  return kCommands;
 }
 
 } // namespace sassafrasknotctl
--- /dev/null
+++ b/apps/sassafrasknotctl/load_plan.cpp
@@ -0,0 +1,326 @@
+#include "load_plan.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdlib>
+#include <iterator>
+#include <memory>
+#include <type_traits>
+#include <utility>
+
+#include <popt.h>
+
+namespace sassafrasknotctl {
+
+namespace {
+
+state::Error
+Invalid(std::string aMessage)
+{
+  return { state::ErrorCode::InvalidArgument,
+           state::Verdict::NotRun,
+           std::move(aMessage) };
+}
+
+std::optional<double>
+ParsePositive(std::string_view aText)
+{
+  const std::string text(aText);
+  char* end = nullptr;
+  const double value = std::strtod(text.c_str(), &end);
+  if (text.empty() || *end != '\0' || !(value > 0) || !std::isfinite(value)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::pair<std::string_view, std::string_view>
+SplitAt(std::string_view aText, char aSeparator)
+{
+  const auto position = aText.find(aSeparator);
+  if (position == std::string_view::npos) {
+    return { aText, {} };
+  }
+  return { aText.substr(0, position), aText.substr(position + 1) };
+}
+
+std::chrono::milliseconds
+FromSeconds(double aSeconds)
+{
+  return std::chrono::milliseconds(std::llround(aSeconds * 1000));
+}
+
+// Values that popt writes.
+struct Values
+{
+  char* mListen = nullptr;
+  char* mFabric = nullptr;
+  char* mCallers = nullptr;
+  char* mCrest = nullptr;
+  char** mFeeds = nullptr;
+  char** mUploads = nullptr;
+  char** mConfirmations = nullptr;
+  double mSeconds = 10;
+  double mFinish = 30;
+  double mFeedSeconds = 0;
+  double mPeriod = 0.5;
+  double mPatience = 15;
+  double mStragglerShare = 0;
+  double mStragglerFactor = 50;
+  long mSeed = 1;
+  long mUploadBytes = 20000;
+  int mJson = 0;
+  int mStrict = 0;
+  int mQuiet = 0;
+};
+
+state::Result<void>
+AddTargets(LoadPlan& aPlan, FlowKind aKind, char** aTexts)
+{
+  for (; aTexts != nullptr && *aTexts != nullptr; ++aTexts) {
+    auto target = ParseTarget(aKind, *aTexts);
+    if (!target) {
+      return target.error();
+    }
+    aPlan.mTargets.push_back(std::move(target.value()));
+  }
+  return boost::outcome_v2::success();
+}
+
+state::Result<LoadPlan>
+ToPlan(const Values& aValues)
+{
+  LoadPlan plan;
+  const auto listen = state::ParseEndpoint(aValues.mListen);
+  const auto fabric = state::ParseEndpoint(aValues.mFabric);
+  const auto callers = state::ParseIpv4Address(aValues.mCallers);
+  if (!listen || !fabric || !callers) {
+    return Invalid("--listen and --fabric want IP:PORT, --callers wants IP");
+  }
+  plan.mListen = listen.value();
+  plan.mFabric = fabric.value();
+  plan.mFirstCaller = callers.value();
+  const std::array<std::pair<FlowKind, char**>, 3> kinds{
+    { { FlowKind::Feed, aValues.mFeeds },
+      { FlowKind::Upload, aValues.mUploads },
+      { FlowKind::Confirmation, aValues.mConfirmations } }
+  };
+  for (const auto& [kind, texts] : kinds) {
+    if (auto added = AddTargets(plan, kind, texts); !added) {
+      return added.error();
+    }
+  }
+  if (plan.mTargets.empty()) {
+    return Invalid("give at least one of --feeds, --uploads, --confirmations");
+  }
+  if (aValues.mCrest != nullptr) {
+    const auto crest = ParseCrest(aValues.mCrest);
+    if (!crest) {
+      return crest.error();
+    }
+    plan.mCrest = crest.value();
+  }
+  plan.mSeed = static_cast<std::uint64_t>(aValues.mSeed);
+  plan.mUploadBytes = static_cast<std::uint64_t>(aValues.mUploadBytes);
+  plan.mLength = FromSeconds(aValues.mSeconds);
+  plan.mFinish = FromSeconds(aValues.mFinish);
+  plan.mFeedLength = FromSeconds(aValues.mFeedSeconds);
+  plan.mPeriod = FromSeconds(aValues.mPeriod);
+  plan.mPatience = FromSeconds(aValues.mPatience);
+  plan.mStragglerShare = aValues.mStragglerShare;
+  plan.mStragglerFactor = aValues.mStragglerFactor;
+  plan.mJson = aValues.mJson != 0;
+  plan.mStrict = aValues.mStrict != 0;
+  plan.mQuiet = aValues.mQuiet != 0;
+  return plan;
+}
+
+constexpr unsigned kShow = POPT_ARGFLAG_SHOW_DEFAULT;
+
+poptOption
+Option(const char* aName,
+       unsigned aType,
+       void* aValue,
+       const char* aHelp,
+       const char* aArgument = nullptr)
+{
+  return { aName, '\0', aType, aValue, 0, aHelp, aArgument };
+}
+
+// What the flows are and do.
+std::vector<poptOption>
+FlowOptions(Values& aValues)
+{
+  constexpr auto kTarget = "ORGANISATION/SERVICE@IP:PORT=RATE";
+  return {
+    Option("feeds",
+           POPT_ARG_ARGV,
+           &aValues.mFeeds,
+           "open feeds at RATE per second; may be repeated",
+           kTarget),
+    Option("uploads",
+           POPT_ARG_ARGV,
+           &aValues.mUploads,
+           "open uploads; may be repeated",
+           kTarget),
+    Option("confirmations",
+           POPT_ARG_ARGV,
+           &aValues.mConfirmations,
+           "open confirmations; may be repeated",
+           kTarget),
+    Option("feed-seconds",
+           POPT_ARG_DOUBLE | kShow,
+           &aValues.mFeedSeconds,
+           "length of a feed; 0 keeps feeds until arrivals end",
+           "SECONDS"),
+    Option("period",
+           POPT_ARG_DOUBLE | kShow,
+           &aValues.mPeriod,
+           "interval between a feed's messages",
+           "SECONDS"),
+    Option("upload-bytes",
+           POPT_ARG_LONG | kShow,
+           &aValues.mUploadBytes,
+           "size of an upload",
+           "BYTES"),
+    Option("straggler-share",
+           POPT_ARG_DOUBLE | kShow,
+           &aValues.mStragglerShare,
+           "part of uploads and confirmations that run longer, 0 to 1",
+           "SHARE"),
+    Option("straggler-factor",
+           POPT_ARG_DOUBLE | kShow,
+           &aValues.mStragglerFactor,
+           "how many times longer they run",
+           "FACTOR"),
+    Option("crest",
+           POPT_ARG_STRING,
+           &aValues.mCrest,
+           "multiply all rates for a time",
+           "START:LENGTH:FACTOR"),
+  };
+}
+
+// Where, how long and how the result is shown.
+std::vector<poptOption>
+RunOptions(Values& aValues)
+{
+  return {
+    Option("listen",
+           POPT_ARG_STRING | kShow,
+           &aValues.mListen,
+           "UDP address of the callers",
+           "IP:PORT"),
+    Option("fabric",
+           POPT_ARG_STRING | kShow,
+           &aValues.mFabric,
+           "UDP address of the fabric",
+           "IP:PORT"),
+    Option("callers",
+           POPT_ARG_STRING | kShow,
+           &aValues.mCallers,
+           "first caller address inside the packets",
+           "IP"),
+    Option("seconds",
+           POPT_ARG_DOUBLE | kShow,
+           &aValues.mSeconds,
+           "time during which flows arrive",
+           "SECONDS"),
+    Option("finish",
+           POPT_ARG_DOUBLE | kShow,
+           &aValues.mFinish,
+           "longest wait for open flows after that",
+           "SECONDS"),
+    Option("patience",
+           POPT_ARG_DOUBLE | kShow,
+           &aValues.mPatience,
+           "time without progress after which a flow is broken",
+           "SECONDS"),
+    Option("seed",
+           POPT_ARG_LONG | kShow,
+           &aValues.mSeed,
+           "seed of all random numbers",
+           "NUMBER"),
+    Option("json", POPT_ARG_NONE, &aValues.mJson, "print the report as JSON"),
+    Option("strict",
+           POPT_ARG_NONE,
+           &aValues.mStrict,
+           "exit with 1 if a flow was broken, misrouted or ran twice"),
+    Option("quiet", POPT_ARG_NONE, &aValues.mQuiet, "show no progress"),
+  };
+}
+
+} // namespace
+
+state::Result<LoadTarget>
+ParseTarget(FlowKind aKind, std::string_view aText)
+{
+  const auto [name, place] = SplitAt(aText, '@');
+  const auto [organisation, service] = SplitAt(name, '/');
+  const auto [listener, rate] = SplitAt(place, '=');
+  const auto endpoint = state::ParseEndpoint(listener);
+  const auto perSecond = ParsePositive(rate);
+  if (organisation.empty() || service.empty() || !endpoint || !perSecond) {
+    return Invalid("target \"" + std::string(aText) +
+                   "\" is not ORGANISATION/SERVICE@IP:PORT=RATE");
+  }
+  return LoadTarget{ aKind,
+                     std::string(organisation),
+                     std::string(service),
+                     endpoint.value(),
+                     *perSecond };
+}
+
+state::Result<Crest>
+ParseCrest(std::string_view aText)
+{
+  const auto [start, rest] = SplitAt(aText, ':');
+  const auto [length, factor] = SplitAt(rest, ':');
+  const auto first = ParsePositive(start);
+  const auto seconds = ParsePositive(length);
+  const auto times = ParsePositive(factor);
+  if (!first || !seconds || !times || *times < 1) {
+    return Invalid("crest \"" + std::string(aText) +
+                   "\" is not START:LENGTH:FACTOR with a factor of 1 or more");
+  }
+  return Crest{ FromSeconds(*first), FromSeconds(*seconds), *times };
+}
+
+state::Result<LoadPlan>
+ParseLoadOptions(int aArgc, const char** aArgv)
+{
+  static char defaultListen[] = "127.0.0.1:7900";
+  static char defaultFabric[] = "127.0.0.1:7800";
+  static char defaultCallers[] = "127.30.0.1";
+  Values values;
+  values.mListen = defaultListen;
+  values.mFabric = defaultFabric;
+  values.mCallers = defaultCallers;
+  auto options = FlowOptions(values);
+  std::ranges::copy(RunOptions(values), std::back_inserter(options));
+  options.push_back({ nullptr,
+                      '\0',
+                      POPT_ARG_INCLUDE_TABLE,
+                      poptHelpOptions,
+                      0,
+                      "Help options:",
+                      nullptr });
+  options.push_back(poptOption POPT_TABLEEND);
+  const std::unique_ptr<std::remove_pointer_t<poptContext>,
+                        poptContext (*)(poptContext)>
+    context(poptGetContext(
+              "sassafrasknotctl load", aArgc, aArgv, options.data(), 0),
+            poptFreeContext);
+  if (const int code = poptGetNextOpt(context.get()); code < -1) {
+    return Invalid(
+      std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
+      poptStrerror(code));
+  }
+  if (const char* rest = poptGetArg(context.get()); rest != nullptr) {
+    return Invalid(std::string("unexpected argument ") + rest);
+  }
+  return ToPlan(values);
+}
+
+} // namespace sassafrasknotctl
--- /dev/null
+++ b/apps/sassafrasknotctl/load_report.cpp
@@ -0,0 +1,252 @@
+#include "load_report.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <numeric>
+#include <sstream>
+
+#include <boost/json.hpp>
+
+namespace sassafrasknotctl {
+
+namespace json = boost::json;
+
+namespace {
+
+double
+Milliseconds(state::Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+template<typename Key>
+void
+MergeCounts(std::map<Key, std::uint64_t>& aSum,
+            const std::map<Key, std::uint64_t>& aOther)
+{
+  for (const auto& [key, count] : aOther) {
+    aSum[key] += count;
+  }
+}
+
+json::object
+Counts(const std::map<std::string, std::uint64_t>& aCounts)
+{
+  json::object object;
+  for (const auto& [key, count] : aCounts) {
+    object[key] = count;
+  }
+  return object;
+}
+
+json::object
+Percentiles(const std::vector<double>& aTimes)
+{
+  return { { "p50", Percentile(aTimes, 0.5) },
+           { "p90", Percentile(aTimes, 0.9) },
+           { "p99", Percentile(aTimes, 0.99) },
+           { "max", Percentile(aTimes, 1.0) } };
+}
+
+json::object
+Totals(const FlowTotals& aTotals)
+{
+  return { { "started", aTotals.mStarted },
+           { "opened", aTotals.mOpened },
+           { "kept", aTotals.mKept },
+           { "broken", aTotals.mBroken },
+           { "misrouted", aTotals.mMisrouted },
+           { "refused", aTotals.mRefused },
+           { "unanswered", aTotals.mUnanswered },
+           { "ran_twice", aTotals.mRanTwice },
+           { "gaps", aTotals.mGaps },
+           { "broken_verdicts",
+             json::object{ { "not-run", aTotals.mBrokenNotRun },
+                           { "may-have-run", aTotals.mBrokenMayHaveRun },
+                           { "answered", aTotals.mBrokenAnswered } } },
+           { "broken_reasons", Counts(aTotals.mReasons) },
+           { "upstreams", Counts(aTotals.mUpstreams) },
+           { "imbalance", Imbalance(aTotals.mUpstreams) },
+           { "open_ms", Percentiles(aTotals.mOpenTimes) },
+           { "answer_ms", Percentiles(aTotals.mAnswerTimes) } };
+}
+
+void
+Row(std::ostream& aOutput,
+    const std::string& aName,
+    const FlowTotals& aTotals)
+{
+  aOutput << std::left << std::setw(36) << aName << std::right;
+  for (const auto count : { aTotals.mOpened,
+                            aTotals.mKept,
+                            aTotals.mBroken,
+                            aTotals.mMisrouted,
+                            aTotals.mRefused,
+                            aTotals.mUnanswered,
+                            aTotals.mRanTwice }) {
+    aOutput << std::setw(11) << count;
+  }
+  aOutput << std::fixed << std::setprecision(1) << std::setw(9)
+          << Percentile(aTotals.mAnswerTimes, 0.5) << std::setw(9)
+          << Percentile(aTotals.mAnswerTimes, 0.99) << std::setprecision(2)
+          << std::setw(11) << Imbalance(aTotals.mUpstreams) << '\n';
+}
+
+} // namespace
+
+void
+AddFlow(FlowTotals& aTotals, const Caller& aCaller)
+{
+  ++aTotals.mStarted;
+  if (aCaller.mEstablished) {
+    ++aTotals.mOpened;
+    aTotals.mOpenTimes.push_back(
+      Milliseconds(*aCaller.mEstablished - aCaller.mPlan.mDue));
+  }
+  if (aCaller.mAnswered) {
+    aTotals.mAnswerTimes.push_back(
+      Milliseconds(*aCaller.mAnswered - aCaller.mPlan.mDue));
+  }
+  if (!aCaller.mUpstream.empty()) {
+    ++aTotals.mUpstreams[aCaller.mUpstream];
+  }
+  aTotals.mMisrouted += aCaller.mMisrouted ? 1 : 0;
+  aTotals.mRanTwice += aCaller.mRanTwice ? 1 : 0;
+  aTotals.mGaps += aCaller.mGaps;
+  const bool unfinished = aCaller.mOutcome == Outcome::Open;
+  if (aCaller.mOutcome == Outcome::Kept) {
+    ++aTotals.mKept;
+  } else if (aCaller.mOutcome == Outcome::Refused) {
+    ++aTotals.mRefused;
+  } else if (!aCaller.mEstablished) {
+    ++aTotals.mUnanswered;
+  } else {
+    ++aTotals.mBroken;
+    ++aTotals.mReasons[unfinished ? "unfinished" : aCaller.mReason];
+    switch (VerdictOf(aCaller)) {
+      case state::Verdict::NotRun:
+        ++aTotals.mBrokenNotRun;
+        break;
+      case state::Verdict::MayHaveRun:
+        ++aTotals.mBrokenMayHaveRun;
+        break;
+      case state::Verdict::Answered:
+        ++aTotals.mBrokenAnswered;
+        break;
+    }
+  }
+}
+
+void
+Merge(FlowTotals& aSum, const FlowTotals& aOther)
+{
+  for (const auto member : { &FlowTotals::mStarted,
+                             &FlowTotals::mOpened,
+                             &FlowTotals::mKept,
+                             &FlowTotals::mBroken,
+                             &FlowTotals::mRefused,
+                             &FlowTotals::mUnanswered,
+                             &FlowTotals::mMisrouted,
+                             &FlowTotals::mRanTwice,
+                             &FlowTotals::mGaps,
+                             &FlowTotals::mBrokenNotRun,
+                             &FlowTotals::mBrokenMayHaveRun,
+                             &FlowTotals::mBrokenAnswered }) {
+    aSum.*member += aOther.*member;
+  }
+  MergeCounts(aSum.mReasons, aOther.mReasons);
+  MergeCounts(aSum.mUpstreams, aOther.mUpstreams);
+  std::ranges::copy(aOther.mOpenTimes, std::back_inserter(aSum.mOpenTimes));
+  std::ranges::copy(aOther.mAnswerTimes, std::back_inserter(aSum.mAnswerTimes));
+}
+
+FlowTotals
+Sum(const LoadReport& aReport)
+{
+  FlowTotals sum;
+  for (const auto& [name, totals] : aReport.mTargets) {
+    Merge(sum, totals);
+  }
+  return sum;
+}
+
+double
+Percentile(std::vector<double> aTimes, double aShare)
+{
+  if (aTimes.empty()) {
+    return 0;
+  }
+  const auto index = std::min(
+    aTimes.size() - 1,
+    static_cast<std::size_t>(aShare * static_cast<double>(aTimes.size())));
+  std::ranges::nth_element(aTimes, aTimes.begin() + index);
+  return aTimes[index];
+}
+
+double
+Imbalance(const std::map<std::string, std::uint64_t>& aUpstreams)
+{
+  std::uint64_t sum = 0;
+  std::uint64_t largest = 0;
+  for (const auto& [upstream, count] : aUpstreams) {
+    sum += count;
+    largest = std::max(largest, count);
+  }
+  return sum == 0 ? 1.0
+                  : static_cast<double>(largest * aUpstreams.size()) /
+                      static_cast<double>(sum);
+}
+
+std::string
+ToJson(const LoadReport& aReport)
+{
+  json::object targets;
+  for (const auto& [name, totals] : aReport.mTargets) {
+    targets[name] = Totals(totals);
+  }
+  auto object = Totals(Sum(aReport));
+  object["targets"] = std::move(targets);
+  object["send_failures"] = aReport.mSendFailures;
+  object["seed"] = aReport.mSeed;
+  return json::serialize(object) + '\n';
+}
+
+std::string
+ToText(const LoadReport& aReport)
+{
+  std::ostringstream output;
+  output << std::left << std::setw(36) << "flows" << std::right;
+  for (const auto* const title : { "opened",
+                                   "kept",
+                                   "broken",
+                                   "misrouted",
+                                   "refused",
+                                   "unanswered",
+                                   "ran twice" }) {
+    output << std::setw(11) << title;
+  }
+  output << std::setw(9) << "p50 ms" << std::setw(9) << "p99 ms"
+         << std::setw(11) << "imbalance" << '\n';
+  for (const auto& [name, totals] : aReport.mTargets) {
+    Row(output, name, totals);
+  }
+  const auto sum = Sum(aReport);
+  Row(output, "all", sum);
+  output << "refused before the connection opened: not-run " << sum.mRefused
+         << "\nbroken after it opened: not-run " << sum.mBrokenNotRun
+         << ", may-have-run " << sum.mBrokenMayHaveRun << ", answered "
+         << sum.mBrokenAnswered << '\n';
+  for (const auto& [reason, count] : sum.mReasons) {
+    output << "broken, " << reason << ": " << count << '\n';
+  }
+  return output.str();
+}
+
+bool
+HasFaults(const LoadReport& aReport)
+{
+  const auto sum = Sum(aReport);
+  return sum.mBroken + sum.mMisrouted + sum.mRanTwice + sum.mGaps > 0;
+}
+
+} // namespace sassafrasknotctl
--- /dev/null
+++ b/apps/sassafrasknotctl/tcp_connection.cpp
@@ -0,0 +1,446 @@
+#include "tcp_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasknotctl {
+
+namespace {
+
+std::uint32_t
+SequenceAt(const TcpConnection& aConnection, std::uint64_t aPosition)
+{
+  return aConnection.mInitialSent + static_cast<std::uint32_t>(aPosition);
+}
+
+// Signed distance of a received sequence number from the expected one.
+std::int32_t
+DistanceFromExpected(const TcpConnection& aConnection, std::uint32_t aSequence)
+{
+  return static_cast<std::int32_t>(
+    aSequence - (aConnection.mInitialReceived +
+                 static_cast<std::uint32_t>(aConnection.mExpected)));
+}
+
+std::uint64_t
+FinPosition(const TcpConnection& aConnection)
+{
+  return 1 + aConnection.mQueued;
+}
+
+protocol::PacketHeader
+HeaderAt(const TcpConnection& aConnection, std::uint64_t aPosition)
+{
+  protocol::PacketHeader header;
+  header.mSource = aConnection.mLocal;
+  header.mDestination = aConnection.mRemote;
+  header.mSequence = SequenceAt(aConnection, aPosition);
+  if (aConnection.mState != TcpState::SynSent) {
+    header.mAck = true;
+    header.mAcknowledged = aConnection.mInitialReceived +
+                           static_cast<std::uint32_t>(aConnection.mExpected);
+  }
+  return header;
+}
+
+void
+Emit(TcpConnection& aConnection,
+     const protocol::PacketHeader& aHeader,
+     std::string_view aPayload = {})
+{
+  aConnection.mOutput.push_back(protocol::BuildPacket(
+    aHeader,
+    { reinterpret_cast<const std::uint8_t*>(aPayload.data()),
+      aPayload.size() }));
+}
+
+void
+Acknowledge(TcpConnection& aConnection)
+{
+  Emit(aConnection, HeaderAt(aConnection, aConnection.mNext));
+}
+
+// Sends the segment that starts at a position and returns the position after
+// it. A position at or after the FIN's end gives no segment.
+std::uint64_t
+EmitSegment(TcpConnection& aConnection, std::uint64_t aPosition)
+{
+  auto header = HeaderAt(aConnection, aPosition);
+  if (aPosition == 0) {
+    header.mSyn = true;
+    Emit(aConnection, header);
+    return 1;
+  }
+  const auto fin = FinPosition(aConnection);
+  const auto first = std::max<std::uint64_t>(aConnection.mUnacknowledged, 1);
+  if (aPosition < fin) {
+    const auto payload = std::string_view(aConnection.mUnsent)
+                           .substr(aPosition - first,
+                                   aConnection.mSettings.mSegmentSize);
+    Emit(aConnection, header, payload);
+    return aPosition + payload.size();
+  }
+  if (aPosition == fin && aConnection.mClosed) {
+    header.mFin = true;
+    Emit(aConnection, header);
+    return fin + 1;
+  }
+  return aPosition;
+}
+
+void
+StartTimer(TcpConnection& aConnection, state::TimePoint aNow)
+{
+  aConnection.mDeadline = aNow + aConnection.mTimeout;
+}
+
+void
+Transmit(TcpConnection& aConnection, state::TimePoint aNow)
+{
+  if (aConnection.mState != TcpState::Established) {
+    return;
+  }
+  while (aConnection.mNext - aConnection.mUnacknowledged <
+         aConnection.mSettings.mWindow) {
+    const auto next = EmitSegment(aConnection, aConnection.mNext);
+    if (next == aConnection.mNext) {
+      break;
+    }
+    aConnection.mNext = next;
+    if (!aConnection.mDeadline) {
+      StartTimer(aConnection, aNow);
+    }
+  }
+}
+
+void
+End(TcpConnection& aConnection, TcpEnd aEnd)
+{
+  aConnection.mState = TcpState::Ended;
+  aConnection.mEnd = aEnd;
+  aConnection.mDeadline.reset();
+}
+
+void
+RemoveAcknowledged(TcpConnection& aConnection, std::uint64_t aPosition)
+{
+  const auto first = std::max<std::uint64_t>(aConnection.mUnacknowledged, 1);
+  if (aPosition > first) {
+    aConnection.mUnsent.erase(
+      0, std::min<std::uint64_t>(aPosition - first, aConnection.mUnsent.size()));
+  }
+  aConnection.mUnacknowledged = aPosition;
+}
+
+// Returns false if the segment acknowledges something that was never sent.
+bool
+TakeAcknowledgement(TcpConnection& aConnection,
+                    const protocol::PacketView& aPacket,
+                    state::TimePoint aNow)
+{
+  const auto distance = static_cast<std::int32_t>(
+    aPacket.mHeader.mAcknowledged -
+    SequenceAt(aConnection, aConnection.mUnacknowledged));
+  const auto outstanding = aConnection.mNext - aConnection.mUnacknowledged;
+  if (distance > 0 && static_cast<std::uint64_t>(distance) > outstanding) {
+    return false;
+  }
+  if (distance > 0) {
+    RemoveAcknowledged(aConnection, aConnection.mUnacknowledged + distance);
+    aConnection.mAttempts = 0;
+    aConnection.mDuplicates = 0;
+    aConnection.mTimeout = aConnection.mSettings.mRetransmission;
+    aConnection.mDeadline.reset();
+    if (aConnection.mUnacknowledged < aConnection.mNext) {
+      StartTimer(aConnection, aNow);
+      if (aConnection.mUnacknowledged < aConnection.mRecover) {
+        EmitSegment(aConnection, aConnection.mUnacknowledged);
+      }
+    }
+  } else if (distance == 0 && outstanding > 0 && aPacket.mPayload.empty() &&
+             !aPacket.mHeader.mFin && ++aConnection.mDuplicates == 3) {
+    aConnection.mRecover = aConnection.mNext;
+    EmitSegment(aConnection, aConnection.mUnacknowledged);
+  }
+  return true;
+}
+
+void
+TakePayload(TcpConnection& aConnection, const protocol::PacketView& aPacket)
+{
+  const auto distance =
+    DistanceFromExpected(aConnection, aPacket.mHeader.mSequence);
+  const auto length =
+    static_cast<std::int64_t>(aPacket.mPayload.size());
+  if (aPacket.mHeader.mFin && distance + length >= 0) {
+    aConnection.mPeerFin = aConnection.mExpected + distance + length;
+  }
+  if (distance + length > 0 && length > 0) {
+    const auto skipped = distance < 0 ? -distance : 0;
+    std::string bytes(aPacket.mPayload.begin() + skipped,
+                      aPacket.mPayload.end());
+    auto& early =
+      aConnection.mEarly[aConnection.mExpected + distance + skipped];
+    if (bytes.size() > early.size()) {
+      early = std::move(bytes);
+    }
+  }
+  while (!aConnection.mEarly.empty() &&
+         aConnection.mEarly.begin()->first <= aConnection.mExpected) {
+    const auto entry = aConnection.mEarly.extract(aConnection.mEarly.begin());
+    const auto end = entry.key() + entry.mapped().size();
+    if (end > aConnection.mExpected) {
+      aConnection.mReceived.append(entry.mapped(),
+                                   aConnection.mExpected - entry.key());
+      aConnection.mExpected = end;
+    }
+  }
+  if (aConnection.mPeerFin == aConnection.mExpected) {
+    ++aConnection.mExpected;
+  }
+}
+
+void
+OnReset(TcpConnection& aConnection, const protocol::PacketHeader& aHeader)
+{
+  if (aConnection.mState == TcpState::Ended) {
+    return;
+  }
+  if (aConnection.mState == TcpState::SynSent) {
+    if (aHeader.mAck && aHeader.mAcknowledged == SequenceAt(aConnection, 1)) {
+      End(aConnection, TcpEnd::Refused);
+    }
+    return;
+  }
+  const auto distance = DistanceFromExpected(aConnection, aHeader.mSequence);
+  if (distance == 0) {
+    End(aConnection, TcpEnd::Reset);
+  } else if (distance > 0 && distance < 65535) {
+    Acknowledge(aConnection);
+  }
+}
+
+void
+OnSynAnswer(TcpConnection& aConnection,
+            const protocol::PacketHeader& aHeader,
+            state::TimePoint aNow)
+{
+  if (!aHeader.mAck || aHeader.mAcknowledged != SequenceAt(aConnection, 1)) {
+    if (auto reset = ResetOf(aHeader, 0); aHeader.mAck && reset) {
+      aConnection.mOutput.push_back(std::move(*reset));
+    }
+    return;
+  }
+  if (!aHeader.mSyn) {
+    return;
+  }
+  aConnection.mInitialReceived = aHeader.mSequence;
+  aConnection.mExpected = 1;
+  aConnection.mState = TcpState::Established;
+  aConnection.mUnacknowledged = 1;
+  aConnection.mAttempts = 0;
+  aConnection.mTimeout = aConnection.mSettings.mRetransmission;
+  aConnection.mDeadline.reset();
+  Acknowledge(aConnection);
+  Transmit(aConnection, aNow);
+}
+
+void
+OnSyn(TcpConnection& aConnection, const protocol::PacketHeader& aHeader)
+{
+  const bool repeated = aConnection.mState == TcpState::SynReceived &&
+                        aHeader.mSequence == aConnection.mInitialReceived;
+  if (repeated) {
+    EmitSegment(aConnection, 0);
+  } else {
+    Acknowledge(aConnection);
+  }
+}
+
+bool
+FinAcknowledged(const TcpConnection& aConnection)
+{
+  return aConnection.mClosed &&
+         aConnection.mUnacknowledged == FinPosition(aConnection) + 1;
+}
+
+} // namespace
+
+TcpConnection
+Connect(const state::Endpoint& aLocal,
+        const state::Endpoint& aRemote,
+        const TcpSettings& aSettings,
+        std::uint32_t aInitialSequence,
+        state::TimePoint aNow)
+{
+  TcpConnection connection;
+  connection.mLocal = aLocal;
+  connection.mRemote = aRemote;
+  connection.mSettings = aSettings;
+  connection.mInitialSent = aInitialSequence;
+  connection.mTimeout = aSettings.mRetransmission;
+  connection.mNext = EmitSegment(connection, 0);
+  StartTimer(connection, aNow);
+  return connection;
+}
+
+TcpConnection
+Accept(const protocol::PacketHeader& aSyn,
+       const TcpSettings& aSettings,
+       std::uint32_t aInitialSequence,
+       state::TimePoint aNow)
+{
+  TcpConnection connection;
+  connection.mLocal = aSyn.mDestination;
+  connection.mRemote = aSyn.mSource;
+  connection.mSettings = aSettings;
+  connection.mState = TcpState::SynReceived;
+  connection.mInitialSent = aInitialSequence;
+  connection.mInitialReceived = aSyn.mSequence;
+  connection.mExpected = 1;
+  connection.mTimeout = aSettings.mRetransmission;
+  connection.mNext = EmitSegment(connection, 0);
+  StartTimer(connection, aNow);
+  return connection;
+}
+
+void
+OnSegment(TcpConnection& aConnection,
+          const protocol::PacketView& aPacket,
+          state::TimePoint aNow)
+{
+  const auto& header = aPacket.mHeader;
+  if (header.mRst) {
+    OnReset(aConnection, header);
+    return;
+  }
+  if (aConnection.mState == TcpState::SynSent) {
+    OnSynAnswer(aConnection, header, aNow);
+    return;
+  }
+  if (header.mSyn) {
+    OnSyn(aConnection, header);
+    return;
+  }
+  const auto distance = DistanceFromExpected(aConnection, header.mSequence);
+  if (aConnection.mState == TcpState::Ended) {
+    if (aConnection.mEnd != TcpEnd::Finished) {
+      if (auto reset = ResetOf(header, aPacket.mPayload.size())) {
+        aConnection.mOutput.push_back(std::move(*reset));
+      }
+      return;
+    }
+    // The last acknowledgement was lost: the other end repeats its FIN.
+    if (header.mFin || distance != 0) {
+      Acknowledge(aConnection);
+    }
+    return;
+  }
+  if (!header.mAck) {
+    return;
+  }
+  if (aConnection.mState == TcpState::SynReceived) {
+    if (header.mAcknowledged != SequenceAt(aConnection, 1)) {
+      if (auto reset = ResetOf(header, aPacket.mPayload.size())) {
+        aConnection.mOutput.push_back(std::move(*reset));
+      }
+      return;
+    }
+    aConnection.mState = TcpState::Established;
+  }
+  if (!TakeAcknowledgement(aConnection, aPacket, aNow)) {
+    Acknowledge(aConnection);
+    return;
+  }
+  TakePayload(aConnection, aPacket);
+  Transmit(aConnection, aNow);
+  // An old empty segment is a keepalive probe and wants an answer too.
+  if (!aPacket.mPayload.empty() || header.mFin || distance < 0) {
+    Acknowledge(aConnection);
+  }
+  if (PeerFinished(aConnection) && FinAcknowledged(aConnection)) {
+    End(aConnection, TcpEnd::Finished);
+  }
+}
+
+void
+Send(TcpConnection& aConnection, std::string_view aBytes, state::TimePoint aNow)
+{
+  aConnection.mUnsent.append(aBytes);
+  aConnection.mQueued += aBytes.size();
+  Transmit(aConnection, aNow);
+}
+
+void
+Close(TcpConnection& aConnection, state::TimePoint aNow)
+{
+  if (!aConnection.mClosed) {
+    aConnection.mClosed = true;
+    Transmit(aConnection, aNow);
+  }
+}
+
+void
+Abort(TcpConnection& aConnection)
+{
+  if (aConnection.mState != TcpState::Ended) {
+    auto header = HeaderAt(aConnection, aConnection.mNext);
+    header.mRst = true;
+    Emit(aConnection, header);
+    End(aConnection, TcpEnd::Reset);
+  }
+}
+
+void
+OnTimer(TcpConnection& aConnection, state::TimePoint aNow)
+{
+  if (!aConnection.mDeadline || aNow < *aConnection.mDeadline) {
+    return;
+  }
+  if (++aConnection.mAttempts > aConnection.mSettings.mAttempts) {
+    End(aConnection, TcpEnd::TimedOut);
+    return;
+  }
+  aConnection.mTimeout = std::min(aConnection.mTimeout * 2,
+                                  aConnection.mSettings.mLongestRetransmission);
+  aConnection.mRecover = aConnection.mNext;
+  EmitSegment(aConnection, aConnection.mUnacknowledged);
+  StartTimer(aConnection, aNow);
+}
+
+bool
+PeerFinished(const TcpConnection& aConnection)
+{
+  return aConnection.mPeerFin &&
+         aConnection.mExpected == *aConnection.mPeerFin + 1;
+}
+
+bool
+AllAcknowledged(const TcpConnection& aConnection)
+{
+  return aConnection.mState == TcpState::Established &&
+         aConnection.mUnsent.empty();
+}
+
+std::optional<protocol::Bytes>
+ResetOf(const protocol::PacketHeader& aHeader, std::size_t aPayload)
+{
+  if (aHeader.mRst) {
+    return std::nullopt;
+  }
+  protocol::PacketHeader header;
+  header.mSource = aHeader.mDestination;
+  header.mDestination = aHeader.mSource;
+  header.mRst = true;
+  if (aHeader.mAck) {
+    header.mSequence = aHeader.mAcknowledged;
+  } else {
+    header.mAck = true;
+    header.mAcknowledged = aHeader.mSequence +
+                           static_cast<std::uint32_t>(aPayload) +
+                           (aHeader.mSyn ? 1 : 0) + (aHeader.mFin ? 1 : 0);
+  }
+  return protocol::BuildPacket(header, {});
+}
+
+} // namespace sassafrasknotctl
