--- a/apps/sassafrasknotctl/arrivals.cpp
+++ b/apps/sassafrasknotctl/arrivals.cpp
@@ -10,8 +10,8 @@
 FactorAt(const Arrivals& aArrivals, state::Duration aTime)
 {
   const auto& crest = aArrivals.mCrest;
-  const bool inside = crest && aTime >= crest->mStart &&
-                      aTime < crest->mStart + crest->mLength;
+  const bool inside =
+    crest && aTime >= crest->mStart && aTime < crest->mStart + crest->mLength;
   return inside ? crest->mFactor : 1.0;
 }
 
--- a/apps/sassafrasknotctl/caller.cpp
+++ b/apps/sassafrasknotctl/caller.cpp
@@ -94,9 +94,9 @@
 Patience(const Caller& aCaller)
 {
   const auto& request = aCaller.mPlan.mRequest;
-  return aCaller.mPlan.mPatience +
-         (request.mKind == FlowKind::Feed ? 2 * request.mPeriod
-                                          : std::chrono::milliseconds{});
+  return aCaller.mPlan.mPatience + (request.mKind == FlowKind::Feed
+                                      ? 2 * request.mPeriod
+                                      : std::chrono::milliseconds{});
 }
 
 } // namespace
--- a/apps/sassafrasknotctl/caller.hpp
+++ b/apps/sassafrasknotctl/caller.hpp
@@ -1,13 +1,13 @@
 #ifndef SASSAFRASKNOTCTL_CALLER_HPP
 #define SASSAFRASKNOTCTL_CALLER_HPP
 
-#include "exchange.hpp"
-#include "tcp_connection.hpp"
-
 #include <chrono>
 #include <optional>
 #include <string>
 
+#include "exchange.hpp"
+#include "tcp_connection.hpp"
+
 namespace sassafrasknotctl {
 
 /// @brief What one flow does and when it counts as broken.
--- a/apps/sassafrasknotctl/caller_set.cpp
+++ b/apps/sassafrasknotctl/caller_set.cpp
@@ -60,18 +60,18 @@
       uniform(aSet.mRandom) < plan.mStragglerShare) {
     caller.mRequest.mFactor = plan.mStragglerFactor;
   }
-  caller.mCaller = { { plan.mFirstCaller.mValue + static_cast<std::uint32_t>(
-                                                    number / kPortsPerAddress) },
+  caller.mCaller = { { plan.mFirstCaller.mValue +
+                       static_cast<std::uint32_t>(number / kPortsPerAddress) },
                      static_cast<std::uint16_t>(kFirstPort +
                                                 number % kPortsPerAddress) };
   caller.mService = aTarget.mListener;
   caller.mDue = aDue;
   caller.mFeedLength = plan.mFeedLength;
   if (plan.mFeedLength.count() == 0) {
-    caller.mFeedLength = std::max(
-      std::chrono::milliseconds{},
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-        aSet.mBegin + plan.mLength - aDue));
+    caller.mFeedLength =
+      std::max(std::chrono::milliseconds{},
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                 aSet.mBegin + plan.mLength - aDue));
   }
   caller.mPatience = plan.mPatience;
   caller.mInitialSequence = static_cast<std::uint32_t>(aSet.mRandom());
@@ -86,8 +86,7 @@
     while (arrivals.mNext <= aNow - aSet.mBegin &&
            arrivals.mNext < aSet.mPlan.mLength) {
       const auto& target = aSet.mPlan.mTargets[i];
-      const auto plan =
-        PlanCaller(aSet, target, aSet.mBegin + arrivals.mNext);
+      const auto plan = PlanCaller(aSet, target, aSet.mBegin + arrivals.mNext);
       const auto [entry, added] = aSet.mCallers.emplace(
         plan.mCaller,
         RunningCaller{ OpenCaller(plan, aNow), NameOf(target), {}, {} });
--- a/apps/sassafrasknotctl/caller_set.hpp
+++ b/apps/sassafrasknotctl/caller_set.hpp
@@ -1,17 +1,17 @@
 #ifndef SASSAFRASKNOTCTL_CALLER_SET_HPP
 #define SASSAFRASKNOTCTL_CALLER_SET_HPP
 
-#include "caller.hpp"
-#include "load_plan.hpp"
-#include "load_report.hpp"
-#include "wake_queue.hpp"
-
 #include <cstdint>
 #include <map>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "caller.hpp"
+#include "load_plan.hpp"
+#include "load_report.hpp"
+#include "wake_queue.hpp"
+
 namespace sassafrasknotctl {
 
 /// @brief A flow with its target and its next wake.
--- a/apps/sassafrasknotctl/commands.cpp
+++ b/apps/sassafrasknotctl/commands.cpp
@@ -1,9 +1,9 @@
 #include "commands.hpp"
 
-#include "load_command.hpp"
-
 #include <array>
 
+#include "load_command.hpp"
+
 namespace sassafrasknotctl {
 
 std::span<const Command>
--- a/apps/sassafrasknotctl/exchange.hpp
+++ b/apps/sassafrasknotctl/exchange.hpp
@@ -3,7 +3,6 @@
 
 #include "sassafrasknot/state/error.hpp"
 
-
 #include <chrono>
 #include <cstdint>
 #include <optional>
--- a/apps/sassafrasknotctl/load_command.cpp
+++ b/apps/sassafrasknotctl/load_command.cpp
@@ -1,14 +1,13 @@
 #include "load_command.hpp"
 
-#include "caller_set.hpp"
-#include "commands.hpp"
-#include "load_plan.hpp"
-#include "udp_port.hpp"
-
 #include <chrono>
 #include <exception>
 #include <iostream>
 
+#include "caller_set.hpp"
+#include "commands.hpp"
+#include "load_plan.hpp"
+#include "udp_port.hpp"
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <unistd.h>
@@ -32,7 +31,8 @@
 {
 public:
   LoadSession(asio::io_context& aContext, const LoadPlan& aPlan)
-    : mPort(aContext, aPlan.mListen)
+    : mContext(aContext)
+    , mPort(aContext, aPlan.mListen)
     , mTimer(aContext)
     , mSignals(aContext, SIGINT, SIGTERM)
     , mSet(MakeCallerSet(aPlan, Now()))
@@ -42,11 +42,11 @@
 
   void Start()
   {
-    mPort.Receive([this](std::span<const std::uint8_t> aBytes,
-                         const state::Endpoint&) {
-      OnDatagram(mSet, aBytes, Now());
-      Flush();
-    });
+    mPort.Receive(
+      [this](std::span<const std::uint8_t> aBytes, const state::Endpoint&) {
+        OnDatagram(mSet, aBytes, Now());
+        Flush();
+      });
     mSignals.async_wait([this](const auto& aError, int) {
       if (!aError) {
         StopArrivals(mSet, Now());
@@ -70,7 +70,7 @@
     Flush();
     ShowProgress(now);
     if (Finished(mSet, now)) {
-      mTimer.get_executor().context().stop();
+      mContext.stop();
       return;
     }
     mTimer.expires_after(kTick);
@@ -98,10 +98,11 @@
     const auto sum = Sum(mSet.mReport);
     std::cerr << "\r" << mSet.mOpenedCallers << " started, "
               << mSet.mCallers.size() << " open, " << sum.mKept << " kept, "
-              << sum.mBroken << " broken, " << sum.mMisrouted
-              << " misrouted, " << sum.mRefused << " refused  " << std::flush;
+              << sum.mBroken << " broken, " << sum.mMisrouted << " misrouted, "
+              << sum.mRefused << " refused  " << std::flush;
   }
 
+  asio::io_context& mContext;
   UdpPort mPort;
   asio::steady_timer mTimer;
   asio::signal_set mSignals;
--- a/apps/sassafrasknotctl/load_plan.cpp
+++ b/apps/sassafrasknotctl/load_plan.cpp
@@ -309,9 +309,9 @@
   options.push_back(poptOption POPT_TABLEEND);
   const std::unique_ptr<std::remove_pointer_t<poptContext>,
                         poptContext (*)(poptContext)>
-    context(poptGetContext(
-              "sassafrasknotctl load", aArgc, aArgv, options.data(), 0),
-            poptFreeContext);
+    context(
+      poptGetContext("sassafrasknotctl load", aArgc, aArgv, options.data(), 0),
+      poptFreeContext);
   if (const int code = poptGetNextOpt(context.get()); code < -1) {
     return Invalid(
       std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
--- a/apps/sassafrasknotctl/load_plan.hpp
+++ b/apps/sassafrasknotctl/load_plan.hpp
@@ -1,9 +1,6 @@
 #ifndef SASSAFRASKNOTCTL_LOAD_PLAN_HPP
 #define SASSAFRASKNOTCTL_LOAD_PLAN_HPP
 
-#include "arrivals.hpp"
-#include "exchange.hpp"
-
 #include "sassafrasknot/state/endpoint.hpp"
 
 #include <chrono>
@@ -13,6 +10,9 @@
 #include <string_view>
 #include <vector>
 
+#include "arrivals.hpp"
+#include "exchange.hpp"
+
 namespace sassafrasknotctl {
 
 /// @brief Flows of one kind towards one listener.
--- a/apps/sassafrasknotctl/load_report.cpp
+++ b/apps/sassafrasknotctl/load_report.cpp
@@ -72,9 +72,7 @@
 }
 
 void
-Row(std::ostream& aOutput,
-    const std::string& aName,
-    const FlowTotals& aTotals)
+Row(std::ostream& aOutput, const std::string& aName, const FlowTotals& aTotals)
 {
   aOutput << std::left << std::setw(36) << aName << std::right;
   for (const auto count : { aTotals.mOpened,
--- a/apps/sassafrasknotctl/load_report.hpp
+++ b/apps/sassafrasknotctl/load_report.hpp
@@ -1,13 +1,13 @@
 #ifndef SASSAFRASKNOTCTL_LOAD_REPORT_HPP
 #define SASSAFRASKNOTCTL_LOAD_REPORT_HPP
 
-#include "caller.hpp"
-
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "caller.hpp"
+
 namespace sassafrasknotctl {
 
 /// @brief What became of the flows of one target or of all targets.
--- a/apps/sassafrasknotctl/tcp_connection.cpp
+++ b/apps/sassafrasknotctl/tcp_connection.cpp
@@ -74,9 +74,9 @@
   const auto fin = FinPosition(aConnection);
   const auto first = std::max<std::uint64_t>(aConnection.mUnacknowledged, 1);
   if (aPosition < fin) {
-    const auto payload = std::string_view(aConnection.mUnsent)
-                           .substr(aPosition - first,
-                                   aConnection.mSettings.mSegmentSize);
+    const auto payload =
+      std::string_view(aConnection.mUnsent)
+        .substr(aPosition - first, aConnection.mSettings.mSegmentSize);
     Emit(aConnection, header, payload);
     return aPosition + payload.size();
   }
@@ -127,7 +127,8 @@
   const auto first = std::max<std::uint64_t>(aConnection.mUnacknowledged, 1);
   if (aPosition > first) {
     aConnection.mUnsent.erase(
-      0, std::min<std::uint64_t>(aPosition - first, aConnection.mUnsent.size()));
+      0,
+      std::min<std::uint64_t>(aPosition - first, aConnection.mUnsent.size()));
   }
   aConnection.mUnacknowledged = aPosition;
 }
@@ -170,8 +171,7 @@
 {
   const auto distance =
     DistanceFromExpected(aConnection, aPacket.mHeader.mSequence);
-  const auto length =
-    static_cast<std::int64_t>(aPacket.mPayload.size());
+  const auto length = static_cast<std::int64_t>(aPacket.mPayload.size());
   if (aPacket.mHeader.mFin && distance + length >= 0) {
     aConnection.mPeerFin = aConnection.mExpected + distance + length;
   }
--- a/apps/sassafrasknotctl/udp_port.cpp
+++ b/apps/sassafrasknotctl/udp_port.cpp
@@ -51,10 +51,8 @@
               const state::Endpoint& aDestination)
 {
   boost::system::error_code error;
-  mSocket.send_to(asio::buffer(aBytes.data(), aBytes.size()),
-                  ToAsio(aDestination),
-                  0,
-                  error);
+  mSocket.send_to(
+    asio::buffer(aBytes.data(), aBytes.size()), ToAsio(aDestination), 0, error);
   if (error) {
     ++mSendFailures;
   }
--- /dev/null
+++ b/testing/stand_ins/program.cpp
@@ -0,0 +1,108 @@
+#include "program.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <type_traits>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace stand_ins {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{ 1 };
+constexpr int kTicksPerSlowTick = 100;
+
+struct Ticker
+{
+  asio::steady_timer mTimer;
+  const std::function<void()>& mTick;
+  const std::function<void()>& mSlowTick;
+  int mTicks = 0;
+};
+
+void
+Run(Ticker& aTicker)
+{
+  aTicker.mTick();
+  if (aTicker.mTicks++ % kTicksPerSlowTick == 0) {
+    aTicker.mSlowTick();
+  }
+  aTicker.mTimer.expires_after(kTick);
+  aTicker.mTimer.async_wait([&aTicker](const auto& aError) {
+    if (!aError) {
+      Run(aTicker);
+    }
+  });
+}
+
+} // namespace
+
+bool
+ParseOptions(const char* aName,
+             std::vector<poptOption> aOptions,
+             int aArgc,
+             const char** aArgv)
+{
+  aOptions.push_back({ nullptr,
+                       '\0',
+                       POPT_ARG_INCLUDE_TABLE,
+                       poptHelpOptions,
+                       0,
+                       "Help options:",
+                       nullptr });
+  aOptions.push_back(poptOption POPT_TABLEEND);
+  const std::unique_ptr<std::remove_pointer_t<poptContext>,
+                        poptContext (*)(poptContext)>
+    context(poptGetContext(aName, aArgc, aArgv, aOptions.data(), 0),
+            poptFreeContext);
+  if (const int code = poptGetNextOpt(context.get()); code < -1) {
+    std::cerr << aName << ": "
+              << poptBadOption(context.get(), POPT_BADOPTION_NOALIAS) << ": "
+              << poptStrerror(code) << '\n';
+    return false;
+  }
+  return true;
+}
+
+std::optional<std::string>
+ReadFile(const std::string& aPath)
+{
+  std::ifstream input(aPath);
+  if (!input) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << input.rdbuf();
+  return text.str();
+}
+
+void
+WriteFile(const std::string& aPath, const std::string& aText)
+{
+  const auto temporary = aPath + ".new";
+  std::ofstream(temporary) << aText;
+  std::rename(temporary.c_str(), aPath.c_str());
+}
+
+void
+RunUntilSignal(asio::io_context& aContext,
+               const std::function<void()>& aTick,
+               const std::function<void()>& aSlowTick)
+{
+  asio::signal_set signals(aContext, SIGINT, SIGTERM);
+  signals.async_wait([&aContext](const auto&, int) { aContext.stop(); });
+  Ticker ticker{ asio::steady_timer(aContext), aTick, aSlowTick };
+  Run(ticker);
+  aContext.run();
+}
+
+} // namespace stand_ins
--- /dev/null
+++ b/testing/stand_ins/upstreams_main.cpp
@@ -0,0 +1,136 @@
+#include <chrono>
+#include <exception>
+#include <iostream>
+
+#include "program.hpp"
+#include "udp_port.hpp"
+#include "upstream_set.hpp"
+
+namespace {
+
+constexpr auto kName = "sassafrasknot-test-upstreams";
+
+// Values that popt writes.
+struct Values
+{
+  const char* mListen = "127.0.0.1:7700";
+  const char* mFabric = "127.0.0.1:7800";
+  const char* mUpstreams = "upstreams.json";
+  const char* mTotals = nullptr;
+  int mSeed = 1;
+};
+
+std::vector<poptOption>
+Options(Values& aValues)
+{
+  constexpr unsigned kText = POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT;
+  return {
+    { "listen",
+      '\0',
+      kText,
+      &aValues.mListen,
+      0,
+      "own UDP address",
+      "IP:PORT" },
+    { "fabric",
+      '\0',
+      kText,
+      &aValues.mFabric,
+      0,
+      "UDP address of the fabric",
+      "IP:PORT" },
+    { "upstreams",
+      '\0',
+      kText,
+      &aValues.mUpstreams,
+      0,
+      "JSON file that describes the upstreams, read again on change",
+      "FILE" },
+    { "totals",
+      '\0',
+      POPT_ARG_STRING,
+      &aValues.mTotals,
+      0,
+      "JSON file for the totals, written ten times a second",
+      "FILE" },
+    { "seed", '\0', POPT_ARG_INT, &aValues.mSeed, 0, "random seed", nullptr },
+  };
+}
+
+// A half-written or missing file leaves the upstreams as they were.
+void
+ReadUpstreams(stand_ins::UpstreamSet& aSet,
+              std::string& aLast,
+              const std::string& aPath)
+{
+  const auto text = stand_ins::ReadFile(aPath);
+  if (!text || *text == aLast) {
+    return;
+  }
+  aLast = *text;
+  if (const auto settings = stand_ins::ParseUpstreams(*text)) {
+    Configure(aSet, settings.value(), std::chrono::steady_clock::now());
+  } else {
+    std::cerr << kName << ": " << aPath << ": " << settings.error().mMessage
+              << '\n';
+  }
+}
+
+int
+Run(const Values& aValues)
+{
+  const auto listen = stand_ins::state::ParseEndpoint(aValues.mListen);
+  const auto fabric = stand_ins::state::ParseEndpoint(aValues.mFabric);
+  if (!listen || !fabric) {
+    std::cerr << kName << ": --listen and --fabric want IP:PORT\n";
+    return 2;
+  }
+  stand_ins::UpstreamSet set;
+  set.mRandom.seed(static_cast<std::uint64_t>(aValues.mSeed));
+  boost::asio::io_context context;
+  sassafrasknotctl::UdpPort port(context, listen.value());
+  const auto now = [] { return std::chrono::steady_clock::now(); };
+  const auto flush = [&] {
+    for (const auto& bytes : set.mOutput) {
+      port.Send(bytes, fabric.value());
+    }
+    set.mOutput.clear();
+  };
+  port.Receive([&](std::span<const std::uint8_t> aBytes,
+                   const stand_ins::state::Endpoint&) {
+    OnDatagram(set, aBytes, now());
+    flush();
+  });
+  std::string last;
+  stand_ins::RunUntilSignal(
+    context,
+    [&] {
+      OnTick(set, now());
+      flush();
+    },
+    [&] {
+      ReadUpstreams(set, last, aValues.mUpstreams);
+      if (aValues.mTotals != nullptr) {
+        stand_ins::WriteFile(aValues.mTotals, ToJson(set, now()));
+      }
+    });
+  std::cout << ToJson(set, now());
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aArgc, const char** aArgv)
+{
+  Values values;
+  if (!stand_ins::ParseOptions(kName, Options(values), aArgc, aArgv)) {
+    return 2;
+  }
+  try {
+    return Run(values);
+  } catch (const std::exception& error) {
+    std::cerr << kName << ": " << error.what() << '\n';
+    return 1;
+  }
+}
