Test callers and upstreams against each other over a bad network

Cause: the load tool must not count its own faults as broken flows. Change: a feed is kept only if it ended in order, as the test of silent upstreams showed feeds that had gone silent and were counted as kept when the run closed them; an upstream that is down sends nothing any more.

--- a/apps/sassafrasknotctl/caller.cpp
+++ b/apps/sassafrasknotctl/caller.cpp
@@ -62,12 +62,16 @@
   ++aCaller.mMessages;
 }
 
-// A flow is complete once its answers arrived and its FIN was sent; what
-// happens to the FIN afterwards takes nothing away from it.
+// Work is complete once its answer arrived; what happens to the FIN afterwards
+// takes nothing away from it. A feed must also end in order, as a feed that has
+// gone silent would otherwise look complete when its caller closes it.
 bool
 Complete(const Caller& aCaller)
 {
-  return aCaller.mConnection.mClosed && aCaller.mMessages > 0;
+  const auto& connection = aCaller.mConnection;
+  return connection.mClosed && aCaller.mMessages > 0 &&
+         (aCaller.mPlan.mRequest.mKind != FlowKind::Feed ||
+          connection.mEnd == TcpEnd::Finished);
 }
 
 void
--- /dev/null
+++ b/apps/sassafrasknotctl/load_plan_test.cpp
@@ -0,0 +1,71 @@
+#include "load_plan.hpp"
+#include "load_report.hpp"
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sassafrasknotctl {
+namespace {
+
+using std::chrono::seconds;
+
+// Guards against targets that are misread and load another service.
+TEST(LoadPlan, ReadsTargets)
+{
+  const auto target =
+    ParseTarget(FlowKind::Feed, "kandyan/scheduling@127.10.0.1:7001=2.5");
+  ASSERT_TRUE(target.has_value());
+  EXPECT_EQ(target.value().mOrganisation, "kandyan");
+  EXPECT_EQ(target.value().mService, "scheduling");
+  EXPECT_EQ(state::ToString(target.value().mListener), "127.10.0.1:7001");
+  EXPECT_EQ(target.value().mRate, 2.5);
+  for (const auto* text : { "",
+                            "kandyan@127.10.0.1:7001=1",
+                            "kandyan/s@127.10.0.1=1",
+                            "kandyan/s@127.10.0.1:7001",
+                            "kandyan/s@127.10.0.1:7001=0",
+                            "kandyan/s@127.10.0.1:7001=nan",
+                            "kandyan/s@127.10.0.1:7001=1x" }) {
+    EXPECT_FALSE(ParseTarget(FlowKind::Feed, text).has_value()) << text;
+  }
+}
+
+// Guards against wrong options that start a run with other values.
+TEST(LoadPlan, RefusesWrongOptions)
+{
+  for (const auto* option : { "--bogus", "--crest=1:2", "--feeds=x", "more" }) {
+    const char* arguments[] = {
+      "load", "--feeds=a/b@127.10.0.1:1=1", option, nullptr
+    };
+    EXPECT_FALSE(ParseLoadOptions(3, arguments).has_value()) << option;
+  }
+}
+
+// Guards against a crest that raises the rate at another time or not at all.
+RC_GTEST_PROP(Arrivals, FollowTheirRate, (std::uint32_t aSeed))
+{
+  auto arrivals =
+    MakeArrivals(200, Crest{ seconds(10), seconds(10), 4.0 }, aSeed);
+  int outside = 0;
+  int inside = 0;
+  for (; arrivals.mNext < seconds(30); Advance(arrivals)) {
+    const bool crest =
+      arrivals.mNext >= seconds(10) && arrivals.mNext < seconds(20);
+    ++(crest ? inside : outside);
+  }
+  // Six standard deviations of the Poisson counts 4,000 and 8,000.
+  RC_ASSERT(std::abs(outside - 4000) < 380);
+  RC_ASSERT(std::abs(inside - 8000) < 540);
+}
+
+// Guards against figures that are computed from the wrong values.
+TEST(LoadReport, ComputesPercentilesAndImbalance)
+{
+  EXPECT_EQ(Percentile({}, 0.5), 0);
+  EXPECT_EQ(Percentile({ 4, 1, 3, 2 }, 0.5), 3);
+  EXPECT_EQ(Percentile({ 4, 1, 3, 2 }, 1.0), 4);
+  EXPECT_EQ(Imbalance({}), 1.0);
+  EXPECT_EQ(Imbalance({ { "a", 3 }, { "b", 1 } }), 1.5);
+}
+
+} // namespace
+} // namespace sassafrasknotctl
--- /dev/null
+++ b/apps/sassafrasknotctl/tcp_connection_test.cpp
@@ -0,0 +1,170 @@
+#include <utility>
+
+#include "tcp_connection.hpp"
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sassafrasknotctl {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr state::Endpoint kCaller{ { 0x7f1e0001 }, 10000 };
+constexpr state::Endpoint kService{ { 0x7f0a0001 }, 7001 };
+constexpr state::TimePoint kStart{};
+
+std::vector<protocol::PacketHeader>
+TakeHeaders(TcpConnection& aConnection)
+{
+  std::vector<protocol::PacketHeader> headers;
+  for (const auto& bytes : std::exchange(aConnection.mOutput, {})) {
+    headers.push_back(protocol::ParsePacket(bytes).value().mHeader);
+  }
+  return headers;
+}
+
+void
+Exchange(TcpConnection& aFrom, TcpConnection& aTo)
+{
+  for (const auto& bytes : std::exchange(aFrom.mOutput, {})) {
+    OnSegment(aTo, protocol::ParsePacket(bytes).value(), kStart);
+  }
+}
+
+// An established connection of a caller with its server.
+std::pair<TcpConnection, TcpConnection>
+Establish(std::uint32_t aCallerSequence = 1000,
+          std::uint32_t aServerSequence = 5000)
+{
+  auto caller = Connect(kCaller, kService, {}, aCallerSequence, kStart);
+  const auto syn = TakeHeaders(caller).at(0);
+  auto server = Accept(syn, {}, aServerSequence, kStart);
+  Exchange(server, caller);
+  Exchange(caller, server);
+  return { std::move(caller), std::move(server) };
+}
+
+protocol::PacketView
+Segment(const protocol::PacketHeader& aHeader)
+{
+  return { aHeader, {} };
+}
+
+// Guards against sequence numbers that break when they wrap at 2^32.
+RC_GTEST_PROP(TcpConnection,
+              DeliversAcrossTheWrap,
+              (std::uint16_t aBefore, const std::string& aText))
+{
+  auto [caller, server] = Establish(0U - aBefore, aBefore);
+  RC_ASSERT(server.mState == TcpState::Established);
+  Send(caller, aText, kStart);
+  Close(caller, kStart);
+  for (int i = 0; i < 10; ++i) {
+    Exchange(caller, server);
+    Exchange(server, caller);
+  }
+  RC_ASSERT(server.mReceived == aText);
+  RC_ASSERT(PeerFinished(server));
+  Close(server, kStart);
+  Exchange(server, caller);
+  Exchange(caller, server);
+  RC_ASSERT(caller.mEnd == TcpEnd::Finished);
+  RC_ASSERT(server.mEnd == TcpEnd::Finished);
+}
+
+// Guards against a caller that takes a reset with a wrong sequence number for
+// the end of its flow: the project would be blamed for stray packets, or would
+// get away with malformed resets (RFC 5961).
+TEST(TcpConnection, TakesResetsWithTheExpectedSequenceOnly)
+{
+  auto [caller, server] = Establish();
+  protocol::PacketHeader reset{ .mSource = kService, .mDestination = kCaller };
+  reset.mRst = true;
+  reset.mSequence = 5000;
+  OnSegment(caller, Segment(reset), kStart);
+  EXPECT_EQ(caller.mState, TcpState::Established);
+  EXPECT_TRUE(caller.mOutput.empty());
+  reset.mSequence = 5002;
+  OnSegment(caller, Segment(reset), kStart);
+  EXPECT_EQ(caller.mState, TcpState::Established);
+  EXPECT_EQ(TakeHeaders(caller).size(), 1U);
+  reset.mSequence = 5001;
+  OnSegment(caller, Segment(reset), kStart);
+  EXPECT_EQ(caller.mEnd, TcpEnd::Reset);
+}
+
+// Guards against a refusal of another SYN that ends this one.
+TEST(TcpConnection, TakesRefusalsOfItsOwnSynOnly)
+{
+  auto caller = Connect(kCaller, kService, {}, 1000, kStart);
+  protocol::PacketHeader reset{ .mSource = kService, .mDestination = kCaller };
+  reset.mRst = true;
+  reset.mAck = true;
+  reset.mAcknowledged = 900;
+  OnSegment(caller, Segment(reset), kStart);
+  EXPECT_EQ(caller.mState, TcpState::SynSent);
+  reset.mAcknowledged = 1001;
+  OnSegment(caller, Segment(reset), kStart);
+  EXPECT_EQ(caller.mEnd, TcpEnd::Refused);
+}
+
+// Guards against probes for a flow's upstream that stay without an answer.
+TEST(TcpConnection, AnswersKeepaliveProbes)
+{
+  auto [caller, server] = Establish();
+  protocol::PacketHeader probe{ .mSource = kCaller, .mDestination = kService };
+  probe.mAck = true;
+  probe.mSequence = 1000;
+  probe.mAcknowledged = 5001;
+  OnSegment(server, Segment(probe), kStart);
+  const auto answers = TakeHeaders(server);
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_TRUE(answers[0].mAck);
+  EXPECT_FALSE(answers[0].mRst);
+  EXPECT_EQ(answers[0].mAcknowledged, 1001U);
+}
+
+// Guards against a lost SYN that is repeated forever or without back-off.
+TEST(TcpConnection, RepeatsItsSynWithBackOff)
+{
+  TcpSettings settings;
+  settings.mAttempts = 3;
+  auto caller = Connect(kCaller, kService, settings, 1000, kStart);
+  std::vector<state::Duration> times;
+  TakeHeaders(caller);
+  for (auto now = kStart; caller.mState != TcpState::Ended;
+       now += milliseconds(1)) {
+    OnTimer(caller, now);
+    for (const auto& header : TakeHeaders(caller)) {
+      EXPECT_TRUE(header.mSyn);
+      times.push_back(now - kStart);
+    }
+  }
+  EXPECT_EQ(times,
+            (std::vector<state::Duration>{
+              milliseconds(200), milliseconds(600), milliseconds(1400) }));
+  EXPECT_EQ(caller.mEnd, TcpEnd::TimedOut);
+}
+
+// Guards against a reset that a real host would not recognise.
+TEST(TcpConnection, AnswersUnknownSegmentsAsAHostDoes)
+{
+  protocol::PacketHeader header{ .mSource = kCaller, .mDestination = kService };
+  header.mSyn = true;
+  header.mSequence = 77;
+  const auto refusal =
+    protocol::ParsePacket(ResetOf(header, 0).value()).value().mHeader;
+  EXPECT_TRUE(refusal.mRst && refusal.mAck);
+  EXPECT_EQ(refusal.mAcknowledged, 78U);
+  header.mSyn = false;
+  header.mAck = true;
+  header.mAcknowledged = 4321;
+  const auto reset =
+    protocol::ParsePacket(ResetOf(header, 10).value()).value().mHeader;
+  EXPECT_TRUE(reset.mRst && !reset.mAck);
+  EXPECT_EQ(reset.mSequence, 4321U);
+  EXPECT_FALSE(ResetOf(reset, 0).has_value());
+}
+
+} // namespace
+} // namespace sassafrasknotctl
--- /dev/null
+++ b/testing/stand_ins/fabric_test.cpp
@@ -0,0 +1,89 @@
+#include <set>
+
+#include "fabric.hpp"
+#include <gtest/gtest.h>
+
+namespace stand_ins {
+namespace {
+
+constexpr state::Endpoint kCaller{ { 0x7f1e0001 }, 10000 };
+constexpr state::Endpoint kService{ { 0x7f0a0001 }, 7001 };
+constexpr state::Endpoint kUpstream{ { 0x7f140001 }, 8001 };
+constexpr state::Endpoint kInstanceA{ { 0x7f000001 }, 7001 };
+constexpr state::Endpoint kInstanceB{ { 0x7f000001 }, 7002 };
+
+Fabric
+MakeFabric(Spray aSpray)
+{
+  Fabric fabric;
+  fabric.mCallers = { { 0x7f000001 }, 7900 };
+  fabric.mUpstreams = { { 0x7f000001 }, 7700 };
+  fabric.mCallerPrefix = ParsePrefix("127.30.0.0/16").value();
+  fabric.mUpstreamPrefix = ParsePrefix("127.20.0.0/16").value();
+  fabric.mSpray = aSpray;
+  fabric.mInstances = { kInstanceA, kInstanceB };
+  return fabric;
+}
+
+std::set<state::Endpoint>
+Routes(Fabric& aFabric,
+       const state::Endpoint& aSource,
+       const state::Endpoint& aDestination)
+{
+  std::set<state::Endpoint> routes;
+  for (int i = 0; i < 50; ++i) {
+    routes.insert(
+      RouteOf(aFabric, { .mSource = aSource, .mDestination = aDestination })
+        .value());
+  }
+  return routes;
+}
+
+// Guards against answers that pass by the instances without a rewrite, and
+// against rewritten packets that go round again.
+TEST(Fabric, RoutesByInnerAddresses)
+{
+  auto fabric = MakeFabric(Spray::Packet);
+  const std::set both{ kInstanceA, kInstanceB };
+  EXPECT_EQ(Routes(fabric, kCaller, kService), both);
+  EXPECT_EQ(Routes(fabric, kUpstream, kCaller), both);
+  EXPECT_EQ(Routes(fabric, kCaller, kUpstream), std::set{ fabric.mUpstreams });
+  EXPECT_EQ(Routes(fabric, kService, kCaller), std::set{ fabric.mCallers });
+}
+
+// Guards against a flow spray that spreads one flow.
+TEST(Fabric, KeepsAFlowOnOneInstance)
+{
+  auto fabric = MakeFabric(Spray::Flow);
+  EXPECT_EQ(Routes(fabric, kCaller, kService).size(), 1U);
+}
+
+// Guards against packets that are sent to an instance that has gone.
+TEST(Fabric, DropsWithoutInstances)
+{
+  auto fabric = MakeFabric(Spray::Packet);
+  fabric.mInstances.clear();
+  OnDatagram(
+    fabric,
+    protocol::BuildPacket({ .mSource = kCaller, .mDestination = kService }, {}),
+    {});
+  EXPECT_TRUE(fabric.mOutput.empty());
+  EXPECT_EQ(fabric.mCounters.at("no_instance"), 1U);
+}
+
+// Guards against lists and ranges that are misread.
+TEST(Fabric, ReadsInstancesAndPrefixes)
+{
+  const auto instances =
+    ParseInstances("# live\n127.0.0.1:7001\n\n127.0.0.1:7002\n");
+  ASSERT_TRUE(instances.has_value());
+  EXPECT_EQ(instances.value(), (std::vector{ kInstanceA, kInstanceB }));
+  EXPECT_FALSE(ParseInstances("127.0.0.1\n").has_value());
+  for (const auto* text :
+       { "127.0.0.0", "127.0.0.0/0", "127.0.0.0/33", "/8" }) {
+    EXPECT_FALSE(ParsePrefix(text).has_value()) << text;
+  }
+}
+
+} // namespace
+} // namespace stand_ins
--- a/testing/stand_ins/upstream_set.cpp
+++ b/testing/stand_ins/upstream_set.cpp
@@ -178,7 +178,9 @@
         state::TimePoint aNow)
 {
   auto& tcp = aConnection.mTcp;
-  std::ranges::move(tcp.mOutput, std::back_inserter(aSet.mOutput));
+  if (ServerOf(aSet, aKey).mSettings.mMode != UpstreamMode::Down) {
+    std::ranges::move(tcp.mOutput, std::back_inserter(aSet.mOutput));
+  }
   tcp.mOutput.clear();
   if (tcp.mState == ctl::TcpState::Ended && !aConnection.mForget) {
     const bool finished = tcp.mEnd == ctl::TcpEnd::Finished;
