Add the commands dump, fleet and drain

Cause: operators need the state of one process and the places where several disagree: who is behind, which shard has two owners, who is not seen.

--- a/apps/sassafrasknotctl/commands.cpp
+++ b/apps/sassafrasknotctl/commands.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "load_command.hpp"
+#include "operator_commands.hpp"
 
 namespace sassafrasknotctl {
 
@@ -11,6 +12,9 @@
 {
   // Each command has a source file of its own in this folder.
   static constexpr std::array kCommands{
+    Command{ "dump", "show the state of an instance", RunDump },
+    Command{ "fleet", "show where instances disagree", RunFleet },
+    Command{ "drain", "begin the planned stop of an instance", RunDrain },
     Command{ "load", "open flows and check their answers", RunLoad },
   };
   return kCommands;
