--- a/apps/sassafrasknotctl/caller_set.cpp
+++ b/apps/sassafrasknotctl/caller_set.cpp
@@ -33,12 +33,11 @@
     aRunning.mForget =
       connection.mEnd == TcpEnd::Finished ? aNow + kLinger : aNow;
   }
-  const auto wake =
-    aRunning.mForget ? aRunning.mForget : NextWake(aRunning.mCaller);
-  if (wake && (!aRunning.mWake || *wake < *aRunning.mWake)) {
-    aRunning.mWake = wake;
-    Schedule(aSet.mWakes, *wake, connection.mLocal);
-  }
+  ScheduleEntry(aSet.mWakes,
+                connection.mLocal,
+                aRunning,
+                aRunning.mForget ? aRunning.mForget
+                                 : NextWake(aRunning.mCaller));
 }
 
 CallerPlan
@@ -139,20 +138,13 @@
 OnTick(CallerSet& aSet, state::TimePoint aNow)
 {
   OpenDue(aSet, aNow);
-  while (const auto due = TakeDue(aSet.mWakes, aNow)) {
-    const auto found = aSet.mCallers.find(due->second);
-    if (found == aSet.mCallers.end() || found->second.mWake != due->first) {
-      continue;
-    }
-    auto& running = found->second;
-    if (running.mForget && *running.mForget <= aNow) {
-      aSet.mCallers.erase(found);
-      continue;
-    }
-    running.mWake.reset();
-    OnTick(running.mCaller, aNow);
-    Collect(aSet, running, aNow);
-  }
+  WakeDue(aSet.mWakes,
+          aSet.mCallers,
+          aNow,
+          [&](const state::Endpoint&, RunningCaller& aRunning) {
+            OnTick(aRunning.mCaller, aNow);
+            Collect(aSet, aRunning, aNow);
+          });
 }
 
 void
--- a/apps/sassafrasknotctl/fleet_command.cpp
+++ b/apps/sassafrasknotctl/fleet_command.cpp
@@ -1,13 +1,16 @@
 #include <chrono>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <thread>
 
 #include "commands.hpp"
+#include "endpoint_list.hpp"
 #include "fleet_view.hpp"
 #include "operator_client.hpp"
 #include "operator_commands.hpp"
 #include "operator_options.hpp"
+#include "option_parser.hpp"
 
 namespace sassafrasknotctl {
 
@@ -17,30 +20,14 @@
 
 constexpr std::chrono::milliseconds kPoll{ 100 };
 
-std::optional<std::vector<state::Endpoint>>
+state::Result<std::vector<state::Endpoint>>
 ReadEndpoints(const std::string& aPath)
 {
   std::ifstream input(aPath);
   if (!input) {
-    std::cerr << "sassafrasknotctl fleet: cannot read " << aPath << '\n';
-    return std::nullopt;
+    return InvalidArgument("the file cannot be read");
   }
-  std::vector<state::Endpoint> endpoints;
-  int number = 0;
-  for (std::string line; std::getline(input, line);) {
-    ++number;
-    if (line.empty() || line.front() == '#') {
-      continue;
-    }
-    const auto endpoint = state::ParseEndpoint(line);
-    if (!endpoint) {
-      std::cerr << "sassafrasknotctl fleet: " << aPath << ':' << number
-                << ": \"" << line << "\" is not IP:PORT\n";
-      return std::nullopt;
-    }
-    endpoints.push_back(endpoint.value());
-  }
-  return endpoints;
+  return ParseEndpointList(std::string(std::istreambuf_iterator(input), {}));
 }
 
 FleetView
@@ -102,11 +89,13 @@
   }
   const auto endpoints = ReadEndpoints(options.value().mTarget);
   if (!endpoints) {
+    std::cerr << "sassafrasknotctl fleet: " << options.value().mTarget << ": "
+              << endpoints.error().mMessage << '\n';
     return kExitUsage;
   }
   const auto view = options.value().mRevision
-                      ? WaitForRevision(*endpoints, options.value())
-                      : ReadFleet(*endpoints, options.value().mTimeout);
+                      ? WaitForRevision(endpoints.value(), options.value())
+                      : ReadFleet(endpoints.value(), options.value().mTimeout);
   if (options.value().mJson) {
     std::cout << FleetToJson(view);
   } else if (options.value().mPrometheus) {
--- a/apps/sassafrasknotctl/load_plan.cpp
+++ b/apps/sassafrasknotctl/load_plan.cpp
@@ -5,24 +5,14 @@
 #include <cmath>
 #include <cstdlib>
 #include <iterator>
-#include <memory>
-#include <type_traits>
 #include <utility>
 
-#include <popt.h>
+#include "option_parser.hpp"
 
 namespace sassafrasknotctl {
 
 namespace {
 
-state::Error
-Invalid(std::string aMessage)
-{
-  return { state::ErrorCode::InvalidArgument,
-           state::Verdict::NotRun,
-           std::move(aMessage) };
-}
-
 std::optional<double>
 ParsePositive(std::string_view aText)
 {
@@ -96,7 +86,8 @@
   const auto fabric = state::ParseEndpoint(aValues.mFabric);
   const auto callers = state::ParseIpv4Address(aValues.mCallers);
   if (!listen || !fabric || !callers) {
-    return Invalid("--listen and --fabric want IP:PORT, --callers wants IP");
+    return InvalidArgument(
+      "--listen and --fabric want IP:PORT, --callers wants IP");
   }
   plan.mListen = listen.value();
   plan.mFabric = fabric.value();
@@ -112,7 +103,8 @@
     }
   }
   if (plan.mTargets.empty()) {
-    return Invalid("give at least one of --feeds, --uploads, --confirmations");
+    return InvalidArgument(
+      "give at least one of --feeds, --uploads, --confirmations");
   }
   if (aValues.mCrest != nullptr) {
     const auto crest = ParseCrest(aValues.mCrest);
@@ -138,67 +130,57 @@
 
 constexpr unsigned kShow = POPT_ARGFLAG_SHOW_DEFAULT;
 
-poptOption
-Option(const char* aName,
-       unsigned aType,
-       void* aValue,
-       const char* aHelp,
-       const char* aArgument = nullptr)
-{
-  return { aName, '\0', aType, aValue, 0, aHelp, aArgument };
-}
-
 // What the flows are and do.
 std::vector<poptOption>
 FlowOptions(Values& aValues)
 {
   constexpr auto kTarget = "ORGANISATION/SERVICE@IP:PORT=RATE";
   return {
-    Option("feeds",
-           POPT_ARG_ARGV,
-           &aValues.mFeeds,
-           "open feeds at RATE per second; may be repeated",
-           kTarget),
-    Option("uploads",
-           POPT_ARG_ARGV,
-           &aValues.mUploads,
-           "open uploads; may be repeated",
-           kTarget),
-    Option("confirmations",
-           POPT_ARG_ARGV,
-           &aValues.mConfirmations,
-           "open confirmations; may be repeated",
-           kTarget),
-    Option("feed-seconds",
-           POPT_ARG_DOUBLE | kShow,
-           &aValues.mFeedSeconds,
-           "length of a feed; 0 keeps feeds until arrivals end",
-           "SECONDS"),
-    Option("period",
-           POPT_ARG_DOUBLE | kShow,
-           &aValues.mPeriod,
-           "interval between a feed's messages",
-           "SECONDS"),
-    Option("upload-bytes",
-           POPT_ARG_LONG | kShow,
-           &aValues.mUploadBytes,
-           "size of an upload",
-           "BYTES"),
-    Option("straggler-share",
-           POPT_ARG_DOUBLE | kShow,
-           &aValues.mStragglerShare,
-           "part of uploads and confirmations that run longer, 0 to 1",
-           "SHARE"),
-    Option("straggler-factor",
-           POPT_ARG_DOUBLE | kShow,
-           &aValues.mStragglerFactor,
-           "how many times longer they run",
-           "FACTOR"),
-    Option("crest",
-           POPT_ARG_STRING,
-           &aValues.mCrest,
-           "multiply all rates for a time",
-           "START:LENGTH:FACTOR"),
+    MakeOption("feeds",
+               POPT_ARG_ARGV,
+               &aValues.mFeeds,
+               "open feeds at RATE per second; may be repeated",
+               kTarget),
+    MakeOption("uploads",
+               POPT_ARG_ARGV,
+               &aValues.mUploads,
+               "open uploads; may be repeated",
+               kTarget),
+    MakeOption("confirmations",
+               POPT_ARG_ARGV,
+               &aValues.mConfirmations,
+               "open confirmations; may be repeated",
+               kTarget),
+    MakeOption("feed-seconds",
+               POPT_ARG_DOUBLE | kShow,
+               &aValues.mFeedSeconds,
+               "length of a feed; 0 keeps feeds until arrivals end",
+               "SECONDS"),
+    MakeOption("period",
+               POPT_ARG_DOUBLE | kShow,
+               &aValues.mPeriod,
+               "interval between a feed's messages",
+               "SECONDS"),
+    MakeOption("upload-bytes",
+               POPT_ARG_LONG | kShow,
+               &aValues.mUploadBytes,
+               "size of an upload",
+               "BYTES"),
+    MakeOption("straggler-share",
+               POPT_ARG_DOUBLE | kShow,
+               &aValues.mStragglerShare,
+               "part of uploads and confirmations that run longer, 0 to 1",
+               "SHARE"),
+    MakeOption("straggler-factor",
+               POPT_ARG_DOUBLE | kShow,
+               &aValues.mStragglerFactor,
+               "how many times longer they run",
+               "FACTOR"),
+    MakeOption("crest",
+               POPT_ARG_STRING,
+               &aValues.mCrest,
+               "multiply all rates for a time",
+               "START:LENGTH:FACTOR"),
   };
 }
 
@@ -207,47 +189,48 @@
 RunOptions(Values& aValues)
 {
   return {
-    Option("listen",
-           POPT_ARG_STRING | kShow,
-           &aValues.mListen,
-           "UDP address of the callers",
-           "IP:PORT"),
-    Option("fabric",
-           POPT_ARG_STRING | kShow,
-           &aValues.mFabric,
-           "UDP address of the fabric",
-           "IP:PORT"),
-    Option("callers",
-           POPT_ARG_STRING | kShow,
-           &aValues.mCallers,
-           "first caller address inside the packets",
-           "IP"),
-    Option("seconds",
-           POPT_ARG_DOUBLE | kShow,
-           &aValues.mSeconds,
-           "time during which flows arrive",
-           "SECONDS"),
-    Option("finish",
-           POPT_ARG_DOUBLE | kShow,
-           &aValues.mFinish,
-           "longest wait for open flows after that",
-           "SECONDS"),
-    Option("patience",
-           POPT_ARG_DOUBLE | kShow,
-           &aValues.mPatience,
-           "time without progress after which a flow is broken",
-           "SECONDS"),
-    Option("seed",
-           POPT_ARG_LONG | kShow,
-           &aValues.mSeed,
-           "seed of all random numbers",
-           "NUMBER"),
-    Option("json", POPT_ARG_NONE, &aValues.mJson, "print the report as JSON"),
-    Option("strict",
-           POPT_ARG_NONE,
-           &aValues.mStrict,
-           "exit with 1 if a flow was broken, misrouted or ran twice"),
-    Option("quiet", POPT_ARG_NONE, &aValues.mQuiet, "show no progress"),
+    MakeOption("listen",
+               POPT_ARG_STRING | kShow,
+               &aValues.mListen,
+               "UDP address of the callers",
+               "IP:PORT"),
+    MakeOption("fabric",
+               POPT_ARG_STRING | kShow,
+               &aValues.mFabric,
+               "UDP address of the fabric",
+               "IP:PORT"),
+    MakeOption("callers",
+               POPT_ARG_STRING | kShow,
+               &aValues.mCallers,
+               "first caller address inside the packets",
+               "IP"),
+    MakeOption("seconds",
+               POPT_ARG_DOUBLE | kShow,
+               &aValues.mSeconds,
+               "time during which flows arrive",
+               "SECONDS"),
+    MakeOption("finish",
+               POPT_ARG_DOUBLE | kShow,
+               &aValues.mFinish,
+               "longest wait for open flows after that",
+               "SECONDS"),
+    MakeOption("patience",
+               POPT_ARG_DOUBLE | kShow,
+               &aValues.mPatience,
+               "time without progress after which a flow is broken",
+               "SECONDS"),
+    MakeOption("seed",
+               POPT_ARG_LONG | kShow,
+               &aValues.mSeed,
+               "seed of all random numbers",
+               "NUMBER"),
+    MakeOption(
+      "json", POPT_ARG_NONE, &aValues.mJson, "print the report as JSON"),
+    MakeOption("strict",
+               POPT_ARG_NONE,
+               &aValues.mStrict,
+               "exit with 1 if a flow was broken, misrouted or ran twice"),
+    MakeOption("quiet", POPT_ARG_NONE, &aValues.mQuiet, "show no progress"),
   };
 }
 
@@ -262,8 +245,8 @@
   const auto endpoint = state::ParseEndpoint(listener);
   const auto perSecond = ParsePositive(rate);
   if (organisation.empty() || service.empty() || !endpoint || !perSecond) {
-    return Invalid("target \"" + std::string(aText) +
-                   "\" is not ORGANISATION/SERVICE@IP:PORT=RATE");
+    return InvalidArgument("target \"" + std::string(aText) +
+                           "\" is not ORGANISATION/SERVICE@IP:PORT=RATE");
   }
   return LoadTarget{ aKind,
                      std::string(organisation),
@@ -281,8 +264,9 @@
   const auto seconds = ParsePositive(length);
   const auto times = ParsePositive(factor);
   if (!first || !seconds || !times || *times < 1) {
-    return Invalid("crest \"" + std::string(aText) +
-                   "\" is not START:LENGTH:FACTOR with a factor of 1 or more");
+    return InvalidArgument(
+      "crest \"" + std::string(aText) +
+      "\" is not START:LENGTH:FACTOR with a factor of 1 or more");
   }
   return Crest{ FromSeconds(*first), FromSeconds(*seconds), *times };
 }
@@ -299,26 +283,13 @@
   values.mCallers = defaultCallers;
   auto options = FlowOptions(values);
   std::ranges::copy(RunOptions(values), std::back_inserter(options));
-  options.push_back({ nullptr,
-                      '\0',
-                      POPT_ARG_INCLUDE_TABLE,
-                      poptHelpOptions,
-                      0,
-                      "Help options:",
-                      nullptr });
-  options.push_back(poptOption POPT_TABLEEND);
-  const std::unique_ptr<std::remove_pointer_t<poptContext>,
-                        poptContext (*)(poptContext)>
-    context(
-      poptGetContext("sassafrasknotctl load", aArgc, aArgv, options.data(), 0),
-      poptFreeContext);
-  if (const int code = poptGetNextOpt(context.get()); code < -1) {
-    return Invalid(
-      std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
-      poptStrerror(code));
+  const auto rest =
+    ParseOptions("sassafrasknotctl load", std::move(options), aArgc, aArgv);
+  if (!rest) {
+    return rest.error();
   }
-  if (const char* rest = poptGetArg(context.get()); rest != nullptr) {
-    return Invalid(std::string("unexpected argument ") + rest);
+  if (!rest.value().empty()) {
+    return InvalidArgument("unexpected argument " + rest.value().front());
   }
   return ToPlan(values);
 }
--- a/apps/sassafrasknotctl/load_plan_test.cpp
+++ b/apps/sassafrasknotctl/load_plan_test.cpp
@@ -1,3 +1,4 @@
+#include "endpoint_list.hpp"
 #include "load_plan.hpp"
 #include "load_report.hpp"
 #include <gtest/gtest.h>
@@ -40,6 +41,17 @@
   }
 }
 
+// Guards against lists of instances that are read in part.
+TEST(EndpointList, NamesTheMalformedLine)
+{
+  const auto list = ParseEndpointList("# live\n127.0.0.1:7001\n\n1.2.3.4:5\n");
+  ASSERT_TRUE(list.has_value());
+  EXPECT_EQ(list.value().size(), 2U);
+  const auto malformed = ParseEndpointList("127.0.0.1:7001\n127.0.0.1\n");
+  ASSERT_FALSE(malformed.has_value());
+  EXPECT_TRUE(malformed.error().mMessage.starts_with("line 2"));
+}
+
 // Guards against a crest that raises the rate at another time or not at all.
 RC_GTEST_PROP(Arrivals, FollowTheirRate, (std::uint32_t aSeed))
 {
--- a/apps/sassafrasknotctl/operator_commands.cpp
+++ b/apps/sassafrasknotctl/operator_commands.cpp
@@ -6,6 +6,7 @@
 #include "dump_view.hpp"
 #include "operator_client.hpp"
 #include "operator_options.hpp"
+#include "option_parser.hpp"
 
 namespace sassafrasknotctl {
 
@@ -26,9 +27,7 @@
 {
   const auto instance = state::ParseEndpoint(aOptions.mTarget);
   if (!instance) {
-    return state::Error{ state::ErrorCode::InvalidArgument,
-                         state::Verdict::NotRun,
-                         '"' + aOptions.mTarget + "\" is not IP:PORT" };
+    return InvalidArgument('"' + aOptions.mTarget + "\" is not IP:PORT");
   }
   return CallOperator(instance.value(), aCall, aOptions.mTimeout);
 }
--- a/apps/sassafrasknotctl/wake_queue.hpp
+++ b/apps/sassafrasknotctl/wake_queue.hpp
@@ -50,6 +50,51 @@
   return entry;
 }
 
+/// @brief Schedules an entry of a map earlier than it was, if need be.
+/// @param aQueue the queue
+/// @param aKey key of the entry
+/// @param aEntry has mWake, the time for which it is scheduled
+/// @param aTime when it wants to wake, or nothing
+template<typename Key, typename Entry>
+void
+ScheduleEntry(WakeQueue<Key>& aQueue,
+              const Key& aKey,
+              Entry& aEntry,
+              const std::optional<sassafrasknot::state::TimePoint>& aTime)
+{
+  if (aTime && (!aEntry.mWake || *aTime < *aEntry.mWake)) {
+    aEntry.mWake = aTime;
+    Schedule(aQueue, *aTime, aKey);
+  }
+}
+
+/// @brief Wakes all entries of a map that are due, and erases those whose
+/// mForget has come.
+/// @param aQueue the queue
+/// @param aEntries entries with mWake and mForget by key
+/// @param aNow the time
+/// @param aFunction takes the key and the entry
+template<typename Key, typename Entries, typename Function>
+void
+WakeDue(WakeQueue<Key>& aQueue,
+        Entries& aEntries,
+        sassafrasknot::state::TimePoint aNow,
+        const Function& aFunction)
+{
+  while (const auto due = TakeDue(aQueue, aNow)) {
+    const auto found = aEntries.find(due->second);
+    if (found == aEntries.end() || found->second.mWake != due->first) {
+      continue;
+    }
+    if (found->second.mForget && *found->second.mForget <= aNow) {
+      aEntries.erase(found);
+      continue;
+    }
+    found->second.mWake.reset();
+    aFunction(due->second, found->second);
+  }
+}
+
 } // namespace sassafrasknotctl
 
 #endif
--- a/testing/stand_ins/fabric.cpp
+++ b/testing/stand_ins/fabric.cpp
@@ -3,21 +3,14 @@
 #include "sassafrasknot/state/hashing.hpp"
 
 #include <charconv>
-#include <sstream>
 #include <utility>
 
+#include "option_parser.hpp"
+
 namespace stand_ins {
 
 namespace {
 
-state::Error
-Malformed(std::string aMessage)
-{
-  return { state::ErrorCode::Malformed,
-           state::Verdict::NotRun,
-           std::move(aMessage) };
-}
-
 std::uint64_t
 HashOf(const state::Endpoint& aEndpoint)
 {
@@ -73,7 +66,8 @@
     std::from_chars(digits.data(), digits.data() + digits.size(), bits);
   }
   if (!address || bits < 1 || bits > 32) {
-    return Malformed("\"" + std::string(aText) + "\" is not IP/BITS");
+    return sassafrasknotctl::InvalidArgument("\"" + std::string(aText) +
+                                             "\" is not IP/BITS");
   }
   return Prefix{ address.value(), bits };
 }
@@ -85,24 +79,6 @@
           (32 - aPrefix.mBits)) == 0;
 }
 
-state::Result<std::vector<state::Endpoint>>
-ParseInstances(std::string_view aText)
-{
-  std::vector<state::Endpoint> instances;
-  std::istringstream input{ std::string(aText) };
-  for (std::string line; std::getline(input, line);) {
-    if (line.empty() || line.front() == '#') {
-      continue;
-    }
-    const auto endpoint = state::ParseEndpoint(line);
-    if (!endpoint) {
-      return Malformed("\"" + line + "\" is not IP:PORT");
-    }
-    instances.push_back(endpoint.value());
-  }
-  return instances;
-}
-
 std::optional<state::Endpoint>
 RouteOf(Fabric& aFabric, const protocol::PacketHeader& aHeader)
 {
--- a/testing/stand_ins/fabric.hpp
+++ b/testing/stand_ins/fabric.hpp
@@ -31,7 +31,7 @@
 
 /// @brief Reads a range such as "127.20.0.0/16".
 /// @param aText the text
-/// @return the range, or Malformed
+/// @return the range, or InvalidArgument
 state::Result<Prefix>
 ParsePrefix(std::string_view aText);
 
@@ -86,12 +86,6 @@
   std::vector<Delivery> mOutput;
 };
 
-/// @brief Reads the list of live instances.
-/// @param aText one IP:PORT a line; empty lines and those with # are skipped
-/// @return the endpoints, or Malformed
-state::Result<std::vector<state::Endpoint>>
-ParseInstances(std::string_view aText);
-
 /// @brief Decides where a packet goes: from upstreams and to services to an
 /// instance, to upstream addresses to the upstreams, to callers to the callers.
 /// @param aFabric the fabric
--- a/testing/stand_ins/fabric_main.cpp
+++ b/testing/stand_ins/fabric_main.cpp
@@ -3,12 +3,14 @@
 #include <exception>
 #include <iostream>
 
+#include "endpoint_list.hpp"
 #include "fabric.hpp"
 #include "program.hpp"
 #include "udp_port.hpp"
 
 namespace {
 
+using sassafrasknotctl::MakeOption;
 using stand_ins::Fabric;
 
 // Values that popt writes.
@@ -33,15 +35,11 @@
 {
   const auto text =
     [](const char* aName, const char*& aValue, const char* aHelp) {
-      return poptOption{
-        aName, '\0',   POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT, &aValue, 0,
-        aHelp, nullptr
-      };
+      return MakeOption(
+        aName, POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT, &aValue, aHelp);
     };
   const auto number = [](const char* aName, double& aValue, const char* aHelp) {
-    return poptOption{
-      aName, '\0', POPT_ARG_DOUBLE, &aValue, 0, aHelp, nullptr
-    };
+    return MakeOption(aName, POPT_ARG_DOUBLE, &aValue, aHelp);
   };
   return {
     text("listen", aValues.mListen, "UDP address of the fabric"),
@@ -55,7 +53,7 @@
     number("duplicate", aValues.mDuplicate, "part of packets sent twice"),
     number("reorder", aValues.mReorder, "part of packets sent 5 ms later"),
     number("delay", aValues.mDelayMilliseconds, "delay of all packets, in ms"),
-    { "seed", '\0', POPT_ARG_INT, &aValues.mSeed, 0, "random seed", nullptr },
+    MakeOption("seed", POPT_ARG_INT, &aValues.mSeed, "random seed"),
   };
 }
 
@@ -91,7 +89,7 @@
 ReadInstances(Fabric& aFabric, const std::string& aPath)
 {
   if (const auto text = stand_ins::ReadFile(aPath)) {
-    if (auto instances = stand_ins::ParseInstances(*text)) {
+    if (auto instances = sassafrasknotctl::ParseEndpointList(*text)) {
       aFabric.mInstances = std::move(instances.value());
     }
   }
@@ -139,7 +137,7 @@
 {
   Values values;
   Fabric fabric;
-  if (!stand_ins::ParseOptions(
+  if (!stand_ins::ReadOptions(
         "sassafrasknot-test-fabric", Options(values), aArgc, aArgv)) {
     return 2;
   }
--- a/testing/stand_ins/fabric_test.cpp
+++ b/testing/stand_ins/fabric_test.cpp
@@ -71,14 +71,9 @@
   EXPECT_EQ(fabric.mCounters.at("no_instance"), 1U);
 }
 
-// Guards against lists and ranges that are misread.
-TEST(Fabric, ReadsInstancesAndPrefixes)
+// Guards against ranges that are misread.
+TEST(Fabric, RefusesMalformedPrefixes)
 {
-  const auto instances =
-    ParseInstances("# live\n127.0.0.1:7001\n\n127.0.0.1:7002\n");
-  ASSERT_TRUE(instances.has_value());
-  EXPECT_EQ(instances.value(), (std::vector{ kInstanceA, kInstanceB }));
-  EXPECT_FALSE(ParseInstances("127.0.0.1\n").has_value());
   for (const auto* text :
        { "127.0.0.0", "127.0.0.0/0", "127.0.0.0/33", "/8" }) {
     EXPECT_FALSE(ParsePrefix(text).has_value()) << text;
--- a/testing/stand_ins/program.cpp
+++ b/testing/stand_ins/program.cpp
@@ -5,9 +5,8 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
-#include <memory>
 #include <sstream>
-#include <type_traits>
+#include <utility>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -47,30 +46,17 @@
 } // namespace
 
 bool
-ParseOptions(const char* aName,
-             std::vector<poptOption> aOptions,
-             int aArgc,
-             const char** aArgv)
+ReadOptions(const char* aName,
+            std::vector<poptOption> aOptions,
+            int aArgc,
+            const char** aArgv)
 {
-  aOptions.push_back({ nullptr,
-                       '\0',
-                       POPT_ARG_INCLUDE_TABLE,
-                       poptHelpOptions,
-                       0,
-                       "Help options:",
-                       nullptr });
-  aOptions.push_back(poptOption POPT_TABLEEND);
-  const std::unique_ptr<std::remove_pointer_t<poptContext>,
-                        poptContext (*)(poptContext)>
-    context(poptGetContext(aName, aArgc, aArgv, aOptions.data(), 0),
-            poptFreeContext);
-  if (const int code = poptGetNextOpt(context.get()); code < -1) {
-    std::cerr << aName << ": "
-              << poptBadOption(context.get(), POPT_BADOPTION_NOALIAS) << ": "
-              << poptStrerror(code) << '\n';
-    return false;
+  const auto rest =
+    sassafrasknotctl::ParseOptions(aName, std::move(aOptions), aArgc, aArgv);
+  if (!rest) {
+    std::cerr << aName << ": " << rest.error().mMessage << '\n';
   }
-  return true;
+  return rest.has_value();
 }
 
 std::optional<std::string>
--- a/testing/stand_ins/program.hpp
+++ b/testing/stand_ins/program.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "option_parser.hpp"
 #include <boost/asio/io_context.hpp>
-#include <popt.h>
 
 namespace stand_ins {
 
@@ -18,10 +18,10 @@
 /// @param aArgv arguments
 /// @return whether the options were correct
 bool
-ParseOptions(const char* aName,
-             std::vector<poptOption> aOptions,
-             int aArgc,
-             const char** aArgv);
+ReadOptions(const char* aName,
+            std::vector<poptOption> aOptions,
+            int aArgc,
+            const char** aArgv);
 
 /// @brief Reads a whole file.
 /// @param aPath its path
--- a/testing/stand_ins/upstream_set.cpp
+++ b/testing/stand_ins/upstream_set.cpp
@@ -196,10 +196,7 @@
   if (!aConnection.mForget && aConnection.mDue) {
     wake = wake ? std::min(*wake, *aConnection.mDue) : aConnection.mDue;
   }
-  if (wake && (!aConnection.mWake || *wake < *aConnection.mWake)) {
-    aConnection.mWake = wake;
-    Schedule(aSet.mWakes, *wake, aKey);
-  }
+  ScheduleEntry(aSet.mWakes, aKey, aConnection, wake);
 }
 
 void
@@ -325,24 +322,16 @@
 void
 OnTick(UpstreamSet& aSet, state::TimePoint aNow)
 {
-  while (const auto due = TakeDue(aSet.mWakes, aNow)) {
-    const auto& key = due->second;
-    const auto found = aSet.mConnections.find(key);
-    if (found == aSet.mConnections.end() || found->second.mWake != due->first) {
-      continue;
-    }
-    auto& connection = found->second;
-    if (connection.mForget && *connection.mForget <= aNow) {
-      aSet.mConnections.erase(found);
-      continue;
-    }
-    connection.mWake.reset();
-    ctl::OnTimer(connection.mTcp, aNow);
-    if (connection.mDue && *connection.mDue <= aNow) {
-      OnDue(aSet, key, connection, aNow);
-    }
-    Collect(aSet, key, connection, aNow);
-  }
+  WakeDue(aSet.mWakes,
+          aSet.mConnections,
+          aNow,
+          [&](const ConnectionKey& aKey, ServerConnection& aConnection) {
+            ctl::OnTimer(aConnection.mTcp, aNow);
+            if (aConnection.mDue && *aConnection.mDue <= aNow) {
+              OnDue(aSet, aKey, aConnection, aNow);
+            }
+            Collect(aSet, aKey, aConnection, aNow);
+          });
 }
 
 } // namespace stand_ins
--- a/testing/stand_ins/upstreams_main.cpp
+++ b/testing/stand_ins/upstreams_main.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+using sassafrasknotctl::MakeOption;
+
 constexpr auto kName = "sassafrasknot-test-upstreams";
 
 // Values that popt writes.
@@ -25,35 +27,23 @@
 {
   constexpr unsigned kText = POPT_ARG_STRING | POPT_ARGFLAG_SHOW_DEFAULT;
   return {
-    { "listen",
-      '\0',
-      kText,
-      &aValues.mListen,
-      0,
-      "own UDP address",
-      "IP:PORT" },
-    { "fabric",
-      '\0',
-      kText,
-      &aValues.mFabric,
-      0,
-      "UDP address of the fabric",
-      "IP:PORT" },
-    { "upstreams",
-      '\0',
-      kText,
-      &aValues.mUpstreams,
-      0,
-      "JSON file that describes the upstreams, read again on change",
-      "FILE" },
-    { "totals",
-      '\0',
-      POPT_ARG_STRING,
-      &aValues.mTotals,
-      0,
-      "JSON file for the totals, written ten times a second",
-      "FILE" },
-    { "seed", '\0', POPT_ARG_INT, &aValues.mSeed, 0, "random seed", nullptr },
+    MakeOption("listen", kText, &aValues.mListen, "own UDP address", "IP:PORT"),
+    MakeOption("fabric",
+               kText,
+               &aValues.mFabric,
+               "UDP address of the fabric",
+               "IP:PORT"),
+    MakeOption("upstreams",
+               kText,
+               &aValues.mUpstreams,
+               "JSON file that describes the upstreams, read again on change",
+               "FILE"),
+    MakeOption("totals",
+               POPT_ARG_STRING,
+               &aValues.mTotals,
+               "JSON file for the totals, written ten times a second",
+               "FILE"),
+    MakeOption("seed", POPT_ARG_INT, &aValues.mSeed, "random seed"),
   };
 }
 
@@ -124,7 +114,7 @@
 main(int aArgc, const char** aArgv)
 {
   Values values;
-  if (!stand_ins::ParseOptions(kName, Options(values), aArgc, aArgv)) {
+  if (!stand_ins::ReadOptions(kName, Options(values), aArgc, aArgv)) {
     return 2;
   }
   try {
