--- a/apps/sassafrasknotctl/operator_options.cpp
+++ b/apps/sassafrasknotctl/operator_options.cpp
@@ -17,7 +17,7 @@
   double wait = 30;
   long revision = -1;
   constexpr unsigned kSeconds = POPT_ARG_DOUBLE | POPT_ARGFLAG_SHOW_DEFAULT;
-  const auto name = std::string("sassafrasknotctl ") + aArgv[0];
+  const auto name = std::string("sassafrasknotctl ") + aArgv[0] + ' ' + aTarget;
   const auto arguments = ParseOptions(
     name.c_str(),
     { MakeOption("json", POPT_ARG_NONE, &json, "print JSON"),
--- a/apps/sassafrasknotctl/option_parser.cpp
+++ b/apps/sassafrasknotctl/option_parser.cpp
@@ -35,20 +35,23 @@
   aOptions.push_back(MakeOption(
     nullptr, POPT_ARG_INCLUDE_TABLE, poptHelpOptions, "Help options:"));
   aOptions.push_back(poptOption POPT_TABLEEND);
+  // popt shows the first argument as the name of the program.
+  std::vector<const char*> arguments(aArgv, aArgv + aArgc);
+  arguments.front() = aName;
   const std::unique_ptr<std::remove_pointer_t<poptContext>,
                         poptContext (*)(poptContext)>
-    context(poptGetContext(aName, aArgc, aArgv, aOptions.data(), 0),
+    context(poptGetContext(aName, aArgc, arguments.data(), aOptions.data(), 0),
             poptFreeContext);
   if (const int code = poptGetNextOpt(context.get()); code < -1) {
     return InvalidArgument(
       std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
       poptStrerror(code));
   }
-  std::vector<std::string> arguments;
+  std::vector<std::string> rest;
   while (const char* argument = poptGetArg(context.get())) {
-    arguments.emplace_back(argument);
+    rest.emplace_back(argument);
   }
-  return arguments;
+  return rest;
 }
 
 } // namespace sassafrasknotctl
--- a/include/sassafrasknot/coordination/shard.hpp
+++ b/include/sassafrasknot/coordination/shard.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_COORDINATION_SHARD_HPP
 #define SASSAFRASKNOT_COORDINATION_SHARD_HPP
 
+#include "sassafrasknot/coordination/shard_load.hpp"
 #include "sassafrasknot/coordination/upstream_health.hpp"
 #include "sassafrasknot/state/configuration.hpp"
 #include "sassafrasknot/state/snapshot.hpp"
@@ -104,6 +105,21 @@
 PlacementDecision
 Place(Shard& aShard, const PlacementRequest& aRequest, state::TimePoint aNow);
 
+/// @brief Returns the load of a shard, so that flows can go to the shard that
+/// has room.
+/// @param aShard the shard
+/// @return its load
+ShardLoad
+LoadOf(const Shard& aShard);
+
+/// @brief Returns the flow that has waited longest for a slot, so that the
+/// caller can move it to a shard with a free slot (CancelQueued here, Place
+/// there with what is left of its deadline).
+/// @param aShard the shard
+/// @return the flow; nothing if no flow waits
+std::optional<std::uint64_t>
+OldestQueued(const Shard& aShard);
+
 /// @brief Accounts a flow that is already placed: learned from an answer, a
 /// copy or a hand-over.
 /// @param aShard the shard
