--- a/apps/sassafrasknotctl/commands.cpp
+++ b/apps/sassafrasknotctl/commands.cpp
@@ -16,6 +16,11 @@
     Command{ "fleet", "show where instances disagree", RunFleet },
     Command{ "drain", "begin the planned stop of an instance", RunDrain },
     Command{ "load", "open flows and check their answers", RunLoad },
+    Command{ "validate", "check platform documents", RunValidate },
+    Command{ "render", "show organisations as they are served", RunRender },
+    Command{ "diff", "show what a change of documents does", RunDiff },
+    Command{
+      "submit-check", "check a change and its reversal", RunSubmitCheck },
   };
   return kCommands;
 }
