--- a/apps/sassafrasknotctl/fleet_command.cpp
+++ b/apps/sassafrasknotctl/fleet_command.cpp
@@ -62,7 +62,7 @@
   while (true) {
     auto view = ReadFleet(aEndpoints, aOptions.mTimeout);
     const auto waited = std::chrono::steady_clock::now() - start;
-    if (view.mEverywhere >= *aOptions.mRevision) {
+    if (InForceEverywhere(view, *aOptions.mRevision)) {
       std::cerr << "revision " << *aOptions.mRevision
                 << " in force everywhere after "
                 << std::chrono::duration<double>(waited).count() << " s\n";
@@ -104,7 +104,7 @@
     std::cout << FleetToText(view);
   }
   const bool reached = !options.value().mRevision ||
-                       view.mEverywhere >= *options.value().mRevision;
+                       InForceEverywhere(view, *options.value().mRevision);
   return Agrees(view) && reached ? 0 : 1;
 }
 
--- a/apps/sassafrasknotctl/fleet_view.cpp
+++ b/apps/sassafrasknotctl/fleet_view.cpp
@@ -186,10 +186,15 @@
 Agrees(const FleetView& aView)
 {
   return aView.mBehind.empty() && aView.mTwoOwners.empty() &&
-         aView.mUnseen.empty() &&
-         std::ranges::all_of(aView.mMembers, [](const auto& aMember) {
-           return aMember.mFault.empty();
-         });
+         aView.mUnseen.empty() && InForceEverywhere(aView, 0);
+}
+
+bool
+InForceEverywhere(const FleetView& aView, std::uint64_t aRevision)
+{
+  return std::ranges::all_of(aView.mMembers, [&](const auto& aMember) {
+    return aMember.mFault.empty() && aMember.mInForce >= aRevision;
+  });
 }
 
 } // namespace sassafrasknotctl
--- a/apps/sassafrasknotctl/fleet_view.hpp
+++ b/apps/sassafrasknotctl/fleet_view.hpp
@@ -64,6 +64,12 @@
 bool
 Agrees(const FleetView& aView);
 
+/// @brief Returns whether all instances answer and have a revision in force.
+/// @param aView the fleet
+/// @param aRevision the revision
+bool
+InForceEverywhere(const FleetView& aView, std::uint64_t aRevision);
+
 /// @brief Writes a fleet as text, as a JSON object or as Prometheus gauges.
 /// @param aView the fleet
 /// @return the text
--- a/apps/sassafrasknotctl/fleet_view_test.cpp
+++ b/apps/sassafrasknotctl/fleet_view_test.cpp
@@ -56,6 +56,7 @@
     { malformed, ReadMember("127.0.0.1:2", Dump("b", "9", "true")) });
   EXPECT_FALSE(Agrees(view));
   EXPECT_EQ(view.mEverywhere, 9U);
+  EXPECT_FALSE(InForceEverywhere(view, 9));
   EXPECT_NE(
     FleetToPrometheus(view).find("sassafrasknot_fleet_instances_silent 1"),
     std::string::npos);
