--- a/apps/sassafrasknotctl/commands.cpp
+++ b/apps/sassafrasknotctl/commands.cpp
@@ -2,6 +2,9 @@
 
 #include <array>
 
+#include "load_command.hpp"
+#include "operator_commands.hpp"
+
 namespace sassafrasknotctl {
 
 std::span<const Command>
@@ -9,6 +12,10 @@
 {
   // Each command has a source file of its own in this folder.
   static constexpr std::array kCommands{
+    Command{ "dump", "show the state of an instance", RunDump },
+    Command{ "fleet", "show where instances disagree", RunFleet },
+    Command{ "drain", "begin the planned stop of an instance", RunDrain },
+    Command{ "load", "open flows and check their answers", RunLoad },
     Command{ "validate", "check platform documents", RunValidate },
     Command{ "render", "show organisations as they are served", RunRender },
     Command{ "diff", "show what a change of documents does", RunDiff },
