--- a/testing/randomised/randomised.cmake
+++ b/testing/randomised/randomised.cmake
@@ -22,3 +22,7 @@
   add_test(NAME randomised_finds_deliberate_faults
     COMMAND ${CMAKE_CURRENT_LIST_DIR}/sabotage_test.sh $<TARGET_FILE:randomised>)
 endif()
+if(SASSAFRASKNOT_TESTS)
+  sassafrasknot_tests(sassafrasknot_randomised_test
+    "${CMAKE_CURRENT_LIST_DIR}/world_test.cpp" sassafrasknot_randomised)
+endif()
