--- a/src/sassafrasknot/coordination/copy_queue.cpp
+++ b/src/sassafrasknot/coordination/copy_queue.cpp
@@ -27,7 +27,7 @@
       return false;
     }
     if (current) {
-      aTaken.push_back(std::move(aCopies.front()));
+      aTaken.push_back(aCopies.front());
     }
     aCopies.pop_front();
     if (current) {
--- a/testing/randomised/randomised.cmake
+++ b/testing/randomised/randomised.cmake
@@ -8,6 +8,23 @@
 target_compile_options(sassafrasknot_randomised PRIVATE ${SASSAFRASKNOT_COMPILE_OPTIONS})
 target_link_libraries(sassafrasknot_randomised PUBLIC sassafrasknot_coordination)
 
+# Broken flows of this design and of the baseline that hashes alone: the same
+# program with another traffic core.
+add_executable(measure-flows ${CMAKE_CURRENT_LIST_DIR}/flows_main.cpp)
+target_link_libraries(measure-flows PRIVATE sassafrasknot_randomised PkgConfig::POPT)
+add_executable(measure-flows-baseline
+  ${CMAKE_CURRENT_LIST_DIR}/flows_main.cpp
+  ${CMAKE_CURRENT_LIST_DIR}/../baseline/traffic_core.cpp
+  ${CMAKE_CURRENT_LIST_DIR}/caller.cpp
+  ${CMAKE_CURRENT_LIST_DIR}/faults.cpp
+  ${CMAKE_CURRENT_LIST_DIR}/upstream.cpp
+  ${CMAKE_CURRENT_LIST_DIR}/world.cpp)
+target_include_directories(measure-flows-baseline PRIVATE ${CMAKE_CURRENT_LIST_DIR})
+target_link_libraries(measure-flows-baseline PRIVATE sassafrasknot_state PkgConfig::POPT)
+foreach(target measure-flows measure-flows-baseline)
+  target_compile_options(${target} PRIVATE ${SASSAFRASKNOT_COMPILE_OPTIONS})
+endforeach()
+
 add_executable(randomised ${CMAKE_CURRENT_LIST_DIR}/main.cpp)
 target_compile_options(randomised PRIVATE ${SASSAFRASKNOT_COMPILE_OPTIONS})
 target_link_libraries(randomised PRIVATE sassafrasknot_randomised PkgConfig::POPT)
