--- a/apps/sassafrasknotctl/document_commands_test.cpp
+++ b/apps/sassafrasknotctl/document_commands_test.cpp
@@ -139,6 +139,7 @@
     { "organisations/b.json",
       own("127.20.0.2", "127.20.0.3"),
       "services/feed/address" },
+    { a, own("dc1", "dc2"), "services/feed/upstreams/127.20.0.1/data_centre" },
     { "organisations/B.json", std::string(kOrganisation), "key" },
     { "organisations/b.txt", std::string(kOrganisation), "file" },
     { i, Replaced(kInstances, ":7000", ""), "instances/a/peer_endpoint" },
--- a/include/sassafrasknot/state/document_set.hpp
+++ b/include/sassafrasknot/state/document_set.hpp
@@ -47,8 +47,9 @@
 AddDocument(DocumentSet& aSet, Document aDocument);
 
 /// @brief Renders all organisations and checks them, each by itself and all
-/// together: endpoints that two organisations claim, and instances and
-/// upstreams that are listed twice.
+/// together: endpoints that two organisations claim, data centres without a
+/// list of instances (if any list is present), and instances and upstreams that
+/// are listed twice.
 /// @param aSet the set
 /// @return the organisations and all faults, in order of their keys
 RenderedSet
--- a/src/sassafrasknot/state/document_set.cpp
+++ b/src/sassafrasknot/state/document_set.cpp
@@ -123,13 +123,39 @@
         AddFinding(aRendered,
                    "organisations/" + id.mValue,
                    std::move(place),
-                   ToString(endpoint) + " belongs to organisation " +
+                   ToString(endpoint) + " is also claimed by organisation " +
                      claim->second.mValue);
       }
     }
   }
 }
 
+/// A misspelt data centre would leave its upstreams without any owner. Sets
+/// without lists of instances are allowed, for checks before a rollout.
+void
+CheckDataCentres(RenderedSet& aRendered, const DocumentSet& aSet)
+{
+  if (aSet.mInstances.empty()) {
+    return;
+  }
+  for (const auto& [id, organisation] : aRendered.mOrganisations) {
+    std::set<DataCentreId> unknown;
+    for (const auto& service : organisation.mServices) {
+      for (const auto& upstream : service.mUpstreams) {
+        if (!aSet.mInstances.contains(upstream.mDataCentre) &&
+            unknown.insert(upstream.mDataCentre).second) {
+          AddFinding(aRendered,
+                     "organisations/" + id.mValue,
+                     "services/" + service.mName + "/upstreams/" +
+                       ToString(upstream.mAddress) + "/data_centre",
+                     "there is no list instances/" +
+                       upstream.mDataCentre.mValue);
+        }
+      }
+    }
+  }
+}
+
 /// Notes the first list that names something, and a fault for each later one.
 template<typename T>
 void
@@ -201,6 +227,7 @@
     RenderOrganisation(rendered, aSet, document);
   }
   CheckClaims(rendered);
+  CheckDataCentres(rendered, aSet);
   CheckLists(rendered, aSet);
   std::ranges::stable_sort(rendered.mFindings, {}, &DocumentFinding::mKey);
   return rendered;
--- a/testing/stand_ins/platform_client_test.cpp
+++ b/testing/stand_ins/platform_client_test.cpp
@@ -168,6 +168,16 @@
   EXPECT_EQ(Read(client).value().mRevision, 1U);
 }
 
+// Guards against a restarted stand-in whose revisions are below the known ones,
+// so that instances ignore its documents.
+TEST_F(PlatformClientTest, RestartedServerGoesOnWithItsRevisions)
+{
+  const PlatformServer restarted(mContext, kAnyPort, mFolder, 41);
+  mSettings.mEndpoints = { restarted.ListensAt() };
+  auto client = MakeClient();
+  EXPECT_EQ(Read(client).value().mRevision, 42U);
+}
+
 // Guards against handlers that are lost or called twice when the daemon stops
 // during a watch, a back-off or before a call has begun.
 TEST_F(PlatformClientTest, StopEndsEachCallOnce)
--- a/testing/stand_ins/platform_main.cpp
+++ b/testing/stand_ins/platform_main.cpp
@@ -12,16 +12,23 @@
 constexpr const char* kName = "sassafrasknot-test-platform";
 
 int
-Serve(const char* aListen, const char* aFolder, double aStaleSeconds)
+Serve(const char* aListen,
+      const char* aFolder,
+      double aStaleSeconds,
+      long long aRevision)
 {
   const auto listen =
     stand_ins::state::ParseEndpoint(aListen == nullptr ? "" : aListen);
-  if (!listen || aFolder == nullptr || aStaleSeconds < 0) {
+  if (!listen || aFolder == nullptr || aStaleSeconds < 0 || aRevision < 0) {
     std::cerr << kName << ": wants --listen IP:PORT and --documents FOLDER\n";
     return 2;
   }
   boost::asio::io_context context;
-  stand_ins::PlatformServer server(context, listen.value(), aFolder);
+  stand_ins::PlatformServer server(
+    context,
+    listen.value(),
+    aFolder,
+    static_cast<stand_ins::state::Revision>(aRevision));
   stand_ins::PlatformControl control;
   control.mStale =
     std::chrono::milliseconds(static_cast<std::int64_t>(aStaleSeconds * 1000));
@@ -40,10 +47,18 @@
   const char* listen = nullptr;
   const char* folder = nullptr;
   double stale = 0;
+  long long revision = 0;
   const poptOption options[] = {
     { "listen", '\0', POPT_ARG_STRING, &listen, 0, "TCP address", "IP:PORT" },
     { "documents", '\0', POPT_ARG_STRING, &folder, 0, "what is served", "DIR" },
     { "stale", '\0', POPT_ARG_DOUBLE, &stale, 0, "age of answers", "SECONDS" },
+    { "revision",
+      '\0',
+      POPT_ARG_LONGLONG,
+      &revision,
+      0,
+      "revision before the first documents",
+      "N" },
     POPT_AUTOHELP POPT_TABLEEND
   };
   const std::unique_ptr<std::remove_pointer_t<poptContext>,
@@ -55,7 +70,7 @@
     return 2;
   }
   try {
-    return Serve(listen, folder, stale);
+    return Serve(listen, folder, stale, revision);
   } catch (const std::exception& error) {
     std::cerr << kName << ": " << error.what() << '\n';
     return 1;
--- a/testing/stand_ins/platform_server.cpp
+++ b/testing/stand_ins/platform_server.cpp
@@ -67,12 +67,14 @@
 {
   Impl(asio::io_context& aContext,
        const state::Endpoint& aListen,
-       std::string aFolder)
+       std::string aFolder,
+       state::Revision aRevision)
     : mAcceptor(aContext,
                 tcp::endpoint(asio::ip::address_v4(aListen.mAddress.mValue),
                               aListen.mPort))
     , mTimer(aContext)
     , mFolder(std::move(aFolder))
+    , mStore{ aRevision, {} }
   {
     Reload();
   }
@@ -84,7 +86,7 @@
     ReadValues(mFolder, mValues);
     // The first documents count as old, so that they are served when stale.
     Update(
-      mStore, mValues, mStore.mRevision == 0 ? state::TimePoint::min() : Now());
+      mStore, mValues, mStore.mKeys.empty() ? state::TimePoint::min() : Now());
     ServeWaiting(false);
   }
 
@@ -301,8 +303,10 @@
 
 PlatformServer::PlatformServer(asio::io_context& aContext,
                                const state::Endpoint& aListen,
-                               std::string aFolder)
-  : mImpl(std::make_shared<Impl>(aContext, aListen, std::move(aFolder)))
+                               std::string aFolder,
+                               state::Revision aRevision)
+  : mImpl(
+      std::make_shared<Impl>(aContext, aListen, std::move(aFolder), aRevision))
 {
   mImpl->Accept();
   mImpl->Poll();
--- a/testing/stand_ins/platform_server.hpp
+++ b/testing/stand_ins/platform_server.hpp
@@ -42,10 +42,13 @@
   /// @param aContext runs the server
   /// @param aListen TCP address; with port 0 any free one
   /// @param aFolder folder with the documents
+  /// @param aRevision revision that the first documents follow, so that a
+  /// restarted server does not go back
   /// @throws boost::system::system_error if the address can't be used
   PlatformServer(boost::asio::io_context& aContext,
                  const state::Endpoint& aListen,
-                 std::string aFolder);
+                 std::string aFolder,
+                 state::Revision aRevision = 0);
   /// @brief Stops to serve.
   ~PlatformServer();
   PlatformServer(const PlatformServer&) = delete;
