Refuse addresses that are not in canonical form

Cause: the address parser stops at a NUL byte, so "127.20.0.1\u0000x" was taken as 127.20.0.1, and ports could have leading zeros.

Change: the decoder compares the text with the canonical form.

Conclusion: an address has one spelling.

--- a/src/sassafrasknot/protocol/document_codec_test.cpp
+++ b/src/sassafrasknot/protocol/document_codec_test.cpp
@@ -101,6 +101,8 @@
     { 1, "\"template\":\"workshop\",", "", "template: is required" },
     { 1, "\"template\"", "\"\\u0000\\n\"", "??: is unknown" },
     { 2, "127.0.0.1:7001", "127.0.0.1", "instances/a/control_endpoint" },
+    { 2, ":7001", ":07001", "instances/a/control_endpoint" },
+    { 3, "127.20.0.1", "127.20.0.1\\u0000x", "upstreams/0/address" },
     { 3, "{\"address\":\"127.20.0.1\"}", "7", "upstreams/0: must be an" },
     { 3, "]}", "]}x", "line 2" },
     { 3, "[{", "[[[[[[[[[{", "line 1 column" },
--- a/src/sassafrasknot/protocol/json_reader.cpp
+++ b/src/sassafrasknot/protocol/json_reader.cpp
@@ -183,8 +183,10 @@
 state::Ipv4Address
 JsonReader::Address(std::string_view aMember)
 {
-  const auto address = state::ParseIpv4Address(String(aMember));
-  if (!address) {
+  const auto text = String(aMember);
+  const auto address = state::ParseIpv4Address(text);
+  // The parser stops at a NUL byte; only the canonical form is allowed.
+  if (!address || ToString(address.value()) != text) {
     Fail(aMember, "must be an IPv4 address such as 127.0.0.1");
     return {};
   }
@@ -194,8 +196,9 @@
 state::Endpoint
 JsonReader::Endpoint(std::string_view aMember)
 {
-  const auto endpoint = state::ParseEndpoint(String(aMember));
-  if (!endpoint) {
+  const auto text = String(aMember);
+  const auto endpoint = state::ParseEndpoint(text);
+  if (!endpoint || ToString(endpoint.value()) != text) {
     Fail(aMember, "must be an IPv4 address with a port, as in 127.0.0.1:7000");
     return {};
   }
