--- a/include/sassafrasknot/coordination/membership.hpp
+++ b/include/sassafrasknot/coordination/membership.hpp
@@ -22,6 +22,9 @@
 /// @brief Timing of the probes.
 /// @{
 constexpr std::chrono::milliseconds kProbePeriod{ 500 };
+/// A probe is repeated after this time and sent indirectly after twice this
+/// time: with one message in ten lost, indirect probes at once would take half
+/// of the bandwidth.
 constexpr std::chrono::milliseconds kDirectTimeout{ 200 };
 constexpr std::chrono::milliseconds kProbeTimeout{ 700 };
 constexpr std::chrono::seconds kSuspicionTimeout{ 2 };
@@ -45,6 +48,8 @@
   state::TimePoint mHeard;
   /// Revision in force on the member, as it told itself.
   state::Revision mRevision = 0;
+  /// Whether it is suspected because a probe of this instance failed.
+  bool mSuspectedHere = false;
   /// How often its update is still to be passed on.
   std::uint32_t mTransmissions = 0;
 };
@@ -54,7 +59,8 @@
 {
   state::InstanceId mTarget;
   state::TimePoint mSent;
-  bool mIndirect = false;
+  /// 1 after the first probe, 2 after its repetition, 3 after indirect ones.
+  std::uint32_t mAttempts = 1;
 };
 
 /// @brief A probe sent for another member.
--- a/include/sassafrasknot/state/quarantine.hpp
+++ b/include/sassafrasknot/state/quarantine.hpp
@@ -14,6 +14,9 @@
 /// @brief 11 s for the change to reach all instances and 60 s for late packets.
 constexpr std::chrono::seconds kQuarantine{ 71 };
 
+/// @brief Wait for late packets of an instance that got the change last.
+constexpr std::chrono::seconds kLatePackets{ 60 };
+
 /// @brief An endpoint that has left a service.
 struct Departure
 {
@@ -23,6 +26,8 @@
   Revision mRevision = 0;
   /// When the change came into force.
   TimePoint mSince;
+  /// When the change was first known to be in force on the whole fleet.
+  std::optional<TimePoint> mInForceEverywhere;
   /// Whether another service holds the endpoint now.
   bool mMoved = false;
 };
@@ -60,8 +65,10 @@
           Revision aRevision,
           TimePoint aSince);
 
-/// @brief Ends the quarantines whose wait is over and whose change is in force
-/// on the whole fleet.
+/// @brief Ends the quarantines whose waits are over: kQuarantine after the
+/// change came into force here and kLatePackets after it came into force on the
+/// whole fleet. A data centre that was cut off may have served the old holder
+/// until the latter.
 /// @param aQuarantine the quarantine
 /// @param aFloor lowest revision in force on any instance listed or alive
 /// @param aNow the time
--- a/src/sassafrasknot/coordination/membership.cpp
+++ b/src/sassafrasknot/coordination/membership.cpp
@@ -15,6 +15,9 @@
 /// A dead member that is not listed is kept as long as old updates of it may
 /// arrive.
 constexpr std::chrono::seconds kDeadRetention{ 60 };
+/// Members that heard of a suspicion wait for the refutation to reach them;
+/// without this, lost messages made some of them count a live member as dead.
+constexpr std::chrono::seconds kRefutationGrace{ 1 };
 constexpr std::chrono::seconds kSummaryPeriod{ 1 };
 constexpr std::chrono::seconds kRelayTimeout{ 1 };
 constexpr std::size_t kMembersPerSummary = 3;
@@ -27,13 +30,13 @@
   return aMember.mUpdate.mDataCentre == aMembership.mSelf.mDataCentre;
 }
 
-/// Three transmissions for each doubling reach all members although one
-/// message in ten is lost.
+/// Two transmissions for each doubling reach nearly all members although one
+/// message in ten is lost; probes find what was missed.
 std::uint32_t
 TransmissionsNeeded(const Membership& aMembership)
 {
-  return 3 * static_cast<std::uint32_t>(
-               std::bit_width(aMembership.mMembers.size() + 1));
+  return 2 * static_cast<std::uint32_t>(
+               std::bit_width(CountPeers(aMembership) + 1));
 }
 
 void
@@ -44,11 +47,12 @@
            TimePoint aNow)
 {
   const auto before = std::exchange(aMember.mUpdate, aUpdate);
-  aMember.mTransmissions = TransmissionsNeeded(aMembership);
   const bool wasDead = before.mHealth == MemberHealth::Dead;
   const bool isDead = aUpdate.mHealth == MemberHealth::Dead;
   if (before.mHealth != aUpdate.mHealth) {
     aMember.mChanged = aNow;
+    aMember.mSuspectedHere =
+      aMember.mSuspectedHere && aUpdate.mHealth == MemberHealth::Suspected;
   }
   if (wasDead != isDead) {
     aResult.mTransitions.push_back(aUpdate);
@@ -56,8 +60,12 @@
   auto comparable = aUpdate;
   comparable.mHealth = before.mHealth;
   comparable.mIncarnation = before.mIncarnation;
-  aResult.mChanged =
-    aResult.mChanged || wasDead != isDead || comparable != before;
+  const bool isNews = wasDead != isDead || comparable != before;
+  aResult.mChanged = aResult.mChanged || isNews;
+  // Suspicions and refutations concern the member's own data centre only.
+  if (isNews || IsLocal(aMembership, aMember)) {
+    aMember.mTransmissions = TransmissionsNeeded(aMembership);
+  }
   aResult.mIncarnationChanged =
     aResult.mIncarnationChanged || aUpdate.mIncarnation != before.mIncarnation;
 }
@@ -164,7 +172,7 @@
 {
   const auto& target = aTarget.mUpdate;
   const auto token = aMembership.mNextToken++;
-  aMembership.mPending[token] = { target.mId, aNow, false };
+  aMembership.mPending[token] = { target.mId, aNow, 1 };
   aResult.mOutgoing.push_back(
     { target.mPeerEndpoint,
       Probe{ token, ChooseUpdates(aMembership, target.mId) } });
@@ -217,7 +225,8 @@
   }
 }
 
-/// Asks suspected members once more, so that they can refute in time.
+/// Asks members that this instance suspects once more, so that they can refute
+/// in time.
 void
 ProbeSuspect(Membership& aMembership,
              RandomGenerator& aRandom,
@@ -226,7 +235,7 @@
 {
   std::vector<const Member*> suspects;
   for (const auto& [id, member] : aMembership.mMembers) {
-    if (IsLocal(aMembership, member) &&
+    if (member.mSuspectedHere &&
         member.mUpdate.mHealth == MemberHealth::Suspected) {
       suspects.push_back(&member);
     }
@@ -275,15 +284,23 @@
     if (found == aMembership.mMembers.end() || age >= kProbeTimeout) {
       if (found != aMembership.mMembers.end() &&
           found->second.mUpdate.mHealth == MemberHealth::Alive) {
+        found->second.mSuspectedHere = true;
         SetHealth(
           aMembership, found->second, MemberHealth::Suspected, aResult, aNow);
       }
       at = aMembership.mPending.erase(at);
       continue;
     }
-    if (age >= kDirectTimeout && !probe.mIndirect) {
-      probe.mIndirect = true;
-      if (found->second.mUpdate.mHealth == MemberHealth::Alive) {
+    const auto attempts = age >= 2 * kDirectTimeout ? 3U
+                          : age >= kDirectTimeout   ? 2U
+                                                    : 1U;
+    if (attempts > probe.mAttempts) {
+      probe.mAttempts = attempts;
+      const auto& target = found->second.mUpdate;
+      if (attempts == 2) {
+        aResult.mOutgoing.push_back(
+          { target.mPeerEndpoint, Probe{ token, {} } });
+      } else if (target.mHealth == MemberHealth::Alive) {
         ProbeIndirectly(aMembership, token, found->second, aRandom, aResult);
       }
     }
@@ -297,7 +314,9 @@
   for (auto& [id, member] : aMembership.mMembers) {
     if (IsLocal(aMembership, member) &&
         member.mUpdate.mHealth == MemberHealth::Suspected &&
-        aNow - member.mChanged >= kSuspicionTimeout) {
+        aNow - member.mChanged >= (member.mSuspectedHere
+                                     ? kSuspicionTimeout
+                                     : kSuspicionTimeout + kRefutationGrace)) {
       SetHealth(aMembership, member, MemberHealth::Dead, aResult, aNow);
     }
   }
@@ -444,6 +463,9 @@
       break;
     }
     updates.push_back(member->mUpdate);
+    if (updates.back().mHealth == MemberHealth::Suspected) {
+      updates.back().mHealth = MemberHealth::Alive;
+    }
   }
   return updates;
 }
@@ -475,10 +497,11 @@
 MembershipResult
 TakeMessage(Membership& aMembership,
             const ControlMessage& aMessage,
-            RandomGenerator& /*aRandom*/,
+            RandomGenerator& aRandom,
             TimePoint aNow)
 {
   MembershipResult result;
+  const auto refutations = aMembership.mRefutations;
   if (aMessage.mSender.mId == aMembership.mSelf.mId) {
     return result;
   }
@@ -493,6 +516,9 @@
     TakeHeartbeats(aMembership, aMessage.mHeartbeats, aNow);
   }
   std::visit(BodyTaker{ aMembership, aMessage, result, aNow }, aMessage.mBody);
+  if (aMembership.mRefutations != refutations) {
+    ProbeSome(aMembership, aRandom, result, aNow);
+  }
   return result;
 }
 
--- a/src/sassafrasknot/state/quarantine.cpp
+++ b/src/sassafrasknot/state/quarantine.cpp
@@ -23,7 +23,7 @@
     // The service before an unfinished move keeps the endpoint's late packets.
     auto old = wasMoved ? known->second.mService : std::optional(service);
     aQuarantine.mDepartures[endpoint] = {
-      std::move(old), aRevision, aNow, wasMoved
+      std::move(old), aRevision, aNow, std::nullopt, wasMoved
     };
   }
 }
@@ -46,6 +46,7 @@
       departure.mMoved = true;
       departure.mRevision = aRevision;
       departure.mSince = aNow;
+      departure.mInForceEverywhere.reset();
       ++at;
     }
   }
@@ -74,7 +75,8 @@
           TimePoint aSince)
 {
   const auto [at, inserted] = aQuarantine.mDepartures.try_emplace(
-    aEndpoint, Departure{ std::nullopt, aRevision, aSince, true });
+    aEndpoint,
+    Departure{ std::nullopt, aRevision, aSince, std::nullopt, true });
   if (inserted) {
     return true;
   }
@@ -88,10 +90,16 @@
 EndQuarantines(Quarantine& aQuarantine, Revision aFloor, TimePoint aNow)
 {
   bool usable = false;
+  for (auto& [endpoint, departure] : aQuarantine.mDepartures) {
+    if (!departure.mInForceEverywhere && aFloor >= departure.mRevision) {
+      departure.mInForceEverywhere = aNow;
+    }
+  }
   std::erase_if(aQuarantine.mDepartures, [&](const auto& aEntry) {
     const auto& departure = aEntry.second;
-    const bool over =
-      aNow - departure.mSince >= kQuarantine && aFloor >= departure.mRevision;
+    const bool over = aNow - departure.mSince >= kQuarantine &&
+                      departure.mInForceEverywhere &&
+                      aNow - *departure.mInForceEverywhere >= kLatePackets;
     usable = usable || (over && departure.mMoved);
     return over;
   });
--- a/src/sassafrasknot/state/snapshot_builder_test.cpp
+++ b/src/sassafrasknot/state/snapshot_builder_test.cpp
@@ -67,6 +67,8 @@
   mNow += 72s;
   EXPECT_FALSE(EndQuarantine(3)) << "an instance does not have the move";
   EXPECT_FALSE(Build()->mListeners.contains(kService));
+  EXPECT_FALSE(EndQuarantine(4)) << "packets of the last one may be on the way";
+  mNow += 61s;
   EXPECT_TRUE(EndQuarantine(4));
   const auto snapshot = Build();
   const auto service = snapshot->mListeners.at(kService);
@@ -88,6 +90,7 @@
   ASSERT_EQ(view.mId.mOrganisation.mValue, "b");
   EXPECT_EQ(view.mTables.front().mShards.at(0).mUpstreams.size(), 1)
     << "the new service must not send flows to it yet";
+  EndQuarantine(4);
   mNow += 72s;
   EndQuarantine(4);
   snapshot = Build();
