--- a/src/sassafrasknot/coordination/membership.cpp
+++ b/src/sassafrasknot/coordination/membership.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/coordination/membership.hpp"
 
 #include "sassafrasknot/coordination/member_queries.hpp"
+#include "sassafrasknot/coordination/member_updates.hpp"
 
 #include <algorithm>
 #include <bit>
@@ -18,109 +19,10 @@
 /// Members that heard of a suspicion wait for the refutation to reach them;
 /// without this, lost messages made some of them count a live member as dead.
 constexpr std::chrono::seconds kRefutationGrace{ 1 };
-constexpr std::chrono::seconds kSummaryPeriod{ 1 };
 constexpr std::chrono::seconds kRelayTimeout{ 1 };
-constexpr std::size_t kMembersPerSummary = 3;
 
 using state::TimePoint;
 
-bool
-IsLocal(const Membership& aMembership, const Member& aMember)
-{
-  return aMember.mUpdate.mDataCentre == aMembership.mSelf.mDataCentre;
-}
-
-/// Two transmissions for each doubling reach nearly all members although one
-/// message in ten is lost; probes find what was missed.
-std::uint32_t
-TransmissionsNeeded(const Membership& aMembership)
-{
-  return 2 * static_cast<std::uint32_t>(
-               std::bit_width(CountPeers(aMembership) + 1));
-}
-
-void
-NoteChange(Membership& aMembership,
-           Member& aMember,
-           const MemberUpdate& aUpdate,
-           MembershipResult& aResult,
-           TimePoint aNow)
-{
-  const auto before = std::exchange(aMember.mUpdate, aUpdate);
-  const bool wasDead = before.mHealth == MemberHealth::Dead;
-  const bool isDead = aUpdate.mHealth == MemberHealth::Dead;
-  if (before.mHealth != aUpdate.mHealth) {
-    aMember.mChanged = aNow;
-    aMember.mSuspectedHere =
-      aMember.mSuspectedHere && aUpdate.mHealth == MemberHealth::Suspected;
-  }
-  if (wasDead != isDead) {
-    aResult.mTransitions.push_back(aUpdate);
-  }
-  auto comparable = aUpdate;
-  comparable.mHealth = before.mHealth;
-  comparable.mIncarnation = before.mIncarnation;
-  const bool isNews = wasDead != isDead || comparable != before;
-  aResult.mChanged = aResult.mChanged || isNews;
-  // Suspicions and refutations concern the member's own data centre only.
-  if (isNews || IsLocal(aMembership, aMember)) {
-    aMember.mTransmissions = TransmissionsNeeded(aMembership);
-  }
-  aResult.mIncarnationChanged =
-    aResult.mIncarnationChanged || aUpdate.mIncarnation != before.mIncarnation;
-}
-
-/// Raises this instance's incarnation above an update that is wrong of it.
-void
-Refute(Membership& aMembership,
-       const MemberUpdate& aUpdate,
-       MembershipResult& aResult)
-{
-  auto& self = aMembership.mSelf;
-  const bool wrong =
-    aUpdate.mHealth != MemberHealth::Alive || aUpdate.mLeaving != self.mLeaving;
-  if (aUpdate.mIncarnation > self.mIncarnation ||
-      (wrong && aUpdate.mIncarnation == self.mIncarnation)) {
-    self.mIncarnation = aUpdate.mIncarnation + 1;
-    ++aMembership.mRefutations;
-    aResult.mIncarnationChanged = true;
-  }
-}
-
-void
-TakeUpdate(Membership& aMembership,
-           MemberUpdate aUpdate,
-           MembershipResult& aResult,
-           TimePoint aNow)
-{
-  if (aUpdate.mId == aMembership.mSelf.mId) {
-    Refute(aMembership, aUpdate, aResult);
-    return;
-  }
-  const auto found = aMembership.mMembers.find(aUpdate.mId);
-  if (found == aMembership.mMembers.end()) {
-    if (aUpdate.mHealth != MemberHealth::Dead) {
-      auto& member = aMembership.mMembers[aUpdate.mId];
-      member.mUpdate = std::move(aUpdate);
-      member.mChanged = aNow;
-      member.mTransmissions = TransmissionsNeeded(aMembership);
-      aResult.mChanged = true;
-    }
-    return;
-  }
-  const auto& known = found->second.mUpdate;
-  if (aUpdate.mIncarnation < known.mIncarnation) {
-    return;
-  }
-  if (aUpdate.mIncarnation == known.mIncarnation) {
-    aUpdate.mHealth = std::max(aUpdate.mHealth, known.mHealth);
-    aUpdate.mLeaving = aUpdate.mLeaving || known.mLeaving;
-  }
-  if (aUpdate != known) {
-    NoteChange(aMembership, found->second, aUpdate, aResult, aNow);
-  }
-}
-
 void
 SetHealth(Membership& aMembership,
           Member& aMember,
@@ -133,51 +35,6 @@
   NoteChange(aMembership, aMember, update, aResult, aNow);
 }
 
-/// Chooses the updates that were passed on least; that of the receiver comes
-/// first if it has something to refute.
-std::vector<MemberUpdate>
-ChooseUpdates(Membership& aMembership, const state::InstanceId& aReceiver)
-{
-  std::vector<Member*> pending;
-  for (auto& [id, member] : aMembership.mMembers) {
-    const bool toRefute =
-      id == aReceiver && member.mUpdate.mHealth != MemberHealth::Alive;
-    if (member.mTransmissions > 0 || toRefute) {
-      pending.push_back(&member);
-    }
-  }
-  const auto isBefore = [&](const Member* aLeft, const Member* aRight) {
-    return std::pair(aLeft->mUpdate.mId == aReceiver, aLeft->mTransmissions) >
-           std::pair(aRight->mUpdate.mId == aReceiver, aRight->mTransmissions);
-  };
-  const auto count = std::min(kUpdatesPerMessage, pending.size());
-  std::partial_sort(pending.begin(),
-                    pending.begin() + static_cast<std::ptrdiff_t>(count),
-                    pending.end(),
-                    isBefore);
-  std::vector<MemberUpdate> updates;
-  for (std::size_t index = 0; index < count; ++index) {
-    auto& member = *pending[index];
-    member.mTransmissions -= member.mTransmissions > 0 ? 1 : 0;
-    updates.push_back(member.mUpdate);
-  }
-  return updates;
-}
-
-void
-SendProbe(Membership& aMembership,
-          const Member& aTarget,
-          MembershipResult& aResult,
-          TimePoint aNow)
-{
-  const auto& target = aTarget.mUpdate;
-  const auto token = aMembership.mNextToken++;
-  aMembership.mPending[token] = { target.mId, aNow, 1 };
-  aResult.mOutgoing.push_back(
-    { target.mPeerEndpoint,
-      Probe{ token, ChooseUpdates(aMembership, target.mId) } });
-}
-
 /// Returns the next member of a round in random order, which bounds the time
 /// until each member is probed.
 Member*
@@ -332,144 +189,6 @@
   });
 }
 
-/// Answers a probe or passes an acknowledgement on.
-struct BodyTaker
-{
-  Membership& mMembership;
-  const ControlMessage& mMessage;
-  MembershipResult& mResult;
-  TimePoint mNow;
-
-  void TakeUpdates(const std::vector<MemberUpdate>& aUpdates) const
-  {
-    for (const auto& update : aUpdates) {
-      TakeUpdate(mMembership, update, mResult, mNow);
-    }
-  }
-
-  void operator()(const Probe& aProbe) const
-  {
-    TakeUpdates(aProbe.mUpdates);
-    mResult.mOutgoing.push_back(
-      { mMessage.mSender.mPeerEndpoint,
-        Acknowledgement{ aProbe.mToken,
-                         mMembership.mSelf.mId,
-                         ChooseUpdates(mMembership, mMessage.mSender.mId) } });
-  }
-
-  void operator()(const IndirectProbe& aProbe) const
-  {
-    TakeUpdates(aProbe.mUpdates);
-    const auto token = mMembership.mNextToken++;
-    mMembership.mRelayed[token] = { mMessage.mSender.mPeerEndpoint,
-                                    aProbe.mToken,
-                                    mNow };
-    mResult.mOutgoing.push_back(
-      { aProbe.mTargetEndpoint,
-        Probe{ token, ChooseUpdates(mMembership, aProbe.mTarget) } });
-  }
-
-  void operator()(const Acknowledgement& aAcknowledgement) const
-  {
-    TakeUpdates(aAcknowledgement.mUpdates);
-    const auto relayed = mMembership.mRelayed.find(aAcknowledgement.mToken);
-    if (relayed != mMembership.mRelayed.end()) {
-      // The target's own update goes along, since it may refute a suspicion.
-      mResult.mOutgoing.push_back({ relayed->second.mAsker,
-                                    Acknowledgement{ relayed->second.mToken,
-                                                     aAcknowledgement.mMember,
-                                                     { mMessage.mSender } } });
-      mMembership.mRelayed.erase(relayed);
-    }
-    mMembership.mPending.erase(aAcknowledgement.mToken);
-  }
-
-  void operator()(const DataCentreSummary& aSummary) const
-  {
-    TakeUpdates(aSummary.mMembers);
-    mMembership.mContacts[aSummary.mDataCentre] = { mNow,
-                                                    aSummary.mLowestRevision };
-  }
-
-  template<typename Other>
-  void operator()(const Other& /*aOther*/) const
-  {
-  }
-};
-
-void
-TakeHeartbeats(Membership& aMembership,
-               const std::vector<DataCentreHeartbeat>& aHeartbeats,
-               TimePoint aNow)
-{
-  for (const auto& heartbeat : aHeartbeats) {
-    if (heartbeat.mDataCentre == aMembership.mSelf.mDataCentre) {
-      continue;
-    }
-    auto& contact = aMembership.mContacts[heartbeat.mDataCentre];
-    if (const auto heard = aNow - heartbeat.mAge; heard > contact.mHeard) {
-      contact = { heard, heartbeat.mLowestRevision };
-    }
-  }
-}
-
-void
-ProbeSome(Membership& aMembership,
-          RandomGenerator& aRandom,
-          MembershipResult& aResult,
-          TimePoint aNow)
-{
-  for (const auto* member : ChooseMembers(aMembership,
-                                          aMembership.mSelf.mDataCentre,
-                                          kIndirectProbes,
-                                          aRandom)) {
-    SendProbe(aMembership, *member, aResult, aNow);
-  }
-}
-
-/// Returns the lowest revision of this data centre's instances.
-state::Revision
-LocalFloor(const Membership& aMembership, state::Revision aRevision)
-{
-  auto lowest = aRevision;
-  for (const auto& [id, member] : aMembership.mMembers) {
-    const bool counts =
-      member.mListed || member.mUpdate.mHealth != MemberHealth::Dead;
-    if (counts && IsLocal(aMembership, member)) {
-      lowest = std::min(lowest, member.mRevision);
-    }
-  }
-  return lowest;
-}
-
-std::vector<MemberUpdate>
-SummaryMembers(const Membership& aMembership, RandomGenerator& aRandom)
-{
-  std::vector<const Member*> local;
-  for (const auto& [id, member] : aMembership.mMembers) {
-    if (IsLocal(aMembership, member)) {
-      local.push_back(&member);
-    }
-  }
-  // Recent changes first, the others in random order.
-  std::shuffle(local.begin(), local.end(), aRandom);
-  std::stable_sort(
-    local.begin(), local.end(), [](const Member* aLeft, const Member* aRight) {
-      return aLeft->mTransmissions > aRight->mTransmissions;
-    });
-  std::vector<MemberUpdate> updates;
-  for (const auto* member : local) {
-    if (updates.size() == kMembersPerSummary) {
-      break;
-    }
-    updates.push_back(member->mUpdate);
-    if (updates.back().mHealth == MemberHealth::Suspected) {
-      updates.back().mHealth = MemberHealth::Alive;
-    }
-  }
-  return updates;
-}
-
 } // namespace
 
 MembershipResult
@@ -494,34 +213,6 @@
   return result;
 }
 
-MembershipResult
-TakeMessage(Membership& aMembership,
-            const ControlMessage& aMessage,
-            RandomGenerator& aRandom,
-            TimePoint aNow)
-{
-  MembershipResult result;
-  const auto refutations = aMembership.mRefutations;
-  if (aMessage.mSender.mId == aMembership.mSelf.mId) {
-    return result;
-  }
-  TakeUpdate(aMembership, aMessage.mSender, result, aNow);
-  if (const auto found = aMembership.mMembers.find(aMessage.mSender.mId);
-      found != aMembership.mMembers.end() &&
-      found->second.mUpdate.mIncarnation == aMessage.mSender.mIncarnation) {
-    found->second.mHeard = aNow;
-    found->second.mRevision = aMessage.mRevision;
-  }
-  if (aMessage.mSender.mDataCentre == aMembership.mSelf.mDataCentre) {
-    TakeHeartbeats(aMembership, aMessage.mHeartbeats, aNow);
-  }
-  std::visit(BodyTaker{ aMembership, aMessage, result, aNow }, aMessage.mBody);
-  if (aMembership.mRefutations != refutations) {
-    ProbeSome(aMembership, aRandom, result, aNow);
-  }
-  return result;
-}
-
 MembershipResult
 TakePublishedList(Membership& aMembership,
                   const state::InstanceListDocument& aList,
@@ -562,47 +253,6 @@
   return result;
 }
 
-std::vector<Outgoing>
-MakeSummaries(Membership& aMembership,
-              state::Revision aRevision,
-              RandomGenerator& aRandom,
-              TimePoint aNow)
-{
-  std::vector<Outgoing> summaries;
-  if (aNow < aMembership.mNextSummary) {
-    return summaries;
-  }
-  aMembership.mNextSummary = aNow + kSummaryPeriod;
-  for (const auto& dataCentre : OtherDataCentres(aMembership)) {
-    if (!IsAssigned(aMembership, "contact/" + dataCentre.mValue, 1)) {
-      continue;
-    }
-    for (const auto* receiver :
-         ChooseMembers(aMembership, dataCentre, 1, aRandom)) {
-      summaries.push_back(
-        { receiver->mUpdate.mPeerEndpoint,
-          DataCentreSummary{ aMembership.mSelf.mDataCentre,
-                             LocalFloor(aMembership, aRevision),
-                             SummaryMembers(aMembership, aRandom) } });
-    }
-  }
-  return summaries;
-}
-
-state::Revision
-FleetFloor(const Membership& aMembership, state::Revision aRevision)
-{
-  auto lowest = LocalFloor(aMembership, aRevision);
-  for (const auto& dataCentre : OtherDataCentres(aMembership)) {
-    const auto contact = aMembership.mContacts.find(dataCentre);
-    lowest = std::min(lowest,
-                      contact == aMembership.mContacts.end()
-                        ? 0
-                        : contact->second.mLowestRevision);
-  }
-  return lowest;
-}
-
 MembershipResult
 RestartMembership(Membership& aMembership,
                   RandomGenerator& aRandom,
--- /dev/null
+++ b/src/sassafrasknot/coordination/membership_summaries.cpp
@@ -0,0 +1,100 @@
+#include "sassafrasknot/coordination/member_queries.hpp"
+#include "sassafrasknot/coordination/member_updates.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::coordination {
+namespace {
+
+constexpr std::chrono::seconds kSummaryPeriod{ 1 };
+constexpr std::size_t kMembersPerSummary = 3;
+
+using state::TimePoint;
+
+/// Returns the lowest revision of this data centre's instances.
+state::Revision
+LocalFloor(const Membership& aMembership, state::Revision aRevision)
+{
+  auto lowest = aRevision;
+  for (const auto& [id, member] : aMembership.mMembers) {
+    const bool counts =
+      member.mListed || member.mUpdate.mHealth != MemberHealth::Dead;
+    if (counts && IsLocal(aMembership, member)) {
+      lowest = std::min(lowest, member.mRevision);
+    }
+  }
+  return lowest;
+}
+
+std::vector<MemberUpdate>
+SummaryMembers(const Membership& aMembership, RandomGenerator& aRandom)
+{
+  std::vector<const Member*> local;
+  for (const auto& [id, member] : aMembership.mMembers) {
+    if (IsLocal(aMembership, member)) {
+      local.push_back(&member);
+    }
+  }
+  // Recent changes first, the others in random order.
+  std::shuffle(local.begin(), local.end(), aRandom);
+  std::stable_sort(
+    local.begin(), local.end(), [](const Member* aLeft, const Member* aRight) {
+      return aLeft->mTransmissions > aRight->mTransmissions;
+    });
+  std::vector<MemberUpdate> updates;
+  for (const auto* member : local) {
+    if (updates.size() == kMembersPerSummary) {
+      break;
+    }
+    updates.push_back(member->mUpdate);
+    if (updates.back().mHealth == MemberHealth::Suspected) {
+      updates.back().mHealth = MemberHealth::Alive;
+    }
+  }
+  return updates;
+}
+
+} // namespace
+
+std::vector<Outgoing>
+MakeSummaries(Membership& aMembership,
+              state::Revision aRevision,
+              RandomGenerator& aRandom,
+              TimePoint aNow)
+{
+  std::vector<Outgoing> summaries;
+  if (aNow < aMembership.mNextSummary) {
+    return summaries;
+  }
+  aMembership.mNextSummary = aNow + kSummaryPeriod;
+  for (const auto& dataCentre : OtherDataCentres(aMembership)) {
+    if (!IsAssigned(aMembership, "contact/" + dataCentre.mValue, 1)) {
+      continue;
+    }
+    for (const auto* receiver :
+         ChooseMembers(aMembership, dataCentre, 1, aRandom)) {
+      summaries.push_back(
+        { receiver->mUpdate.mPeerEndpoint,
+          DataCentreSummary{ aMembership.mSelf.mDataCentre,
+                             LocalFloor(aMembership, aRevision),
+                             SummaryMembers(aMembership, aRandom) } });
+    }
+  }
+  return summaries;
+}
+
+state::Revision
+FleetFloor(const Membership& aMembership, state::Revision aRevision)
+{
+  auto lowest = LocalFloor(aMembership, aRevision);
+  for (const auto& dataCentre : OtherDataCentres(aMembership)) {
+    const auto contact = aMembership.mContacts.find(dataCentre);
+    lowest = std::min(lowest,
+                      contact == aMembership.mContacts.end()
+                        ? 0
+                        : contact->second.mLowestRevision);
+  }
+  return lowest;
+}
+
+} // namespace sassafrasknot::coordination
