Tell a starting instance which members are dead

Cause: a starting instance took all listed members for live ones until it had probed each, up to 42 s in a data centre of 84. Change: a pull at the start asks for the members as well; a member of another data centre that leaves its list is dropped; measure-dissemination measures a bad minute. Conclusion: dead members are known within 3 s of a start.

--- a/include/sassafrasknot/coordination/control_message.hpp
+++ b/include/sassafrasknot/coordination/control_message.hpp
@@ -108,6 +108,8 @@
   /// Hashes of the asker's keys by bucket; if given, the answer lists the keys
   /// of the buckets that differ.
   std::vector<std::uint64_t> mBucketHashes;
+  /// Whether the members are wanted as well, at the start of a process.
+  bool mMembers = false;
 
   auto operator<=>(const Pull&) const = default;
 };
@@ -132,6 +134,8 @@
   /// Keys of the buckets that differ.
   std::vector<DigestEntry> mIndex;
   std::vector<QuarantinedEndpoint> mQuarantined;
+  /// All members that the sender knows, if Pull::mMembers was set.
+  std::vector<MemberUpdate> mMembers;
 };
 
 /// @brief What a data centre's contact tells other data centres once a second.
--- a/include/sassafrasknot/coordination/dissemination.hpp
+++ b/include/sassafrasknot/coordination/dissemination.hpp
@@ -111,12 +111,14 @@
 /// @param aDissemination the state
 /// @param aStore the store
 /// @param aSource control endpoint of the peer
+/// @param aMembers whether the peer's members are wanted as well
 /// @param aNow the time
 /// @return what to send; nothing if this was asked less than a second ago
 std::vector<Outgoing>
 CompareAll(Dissemination& aDissemination,
            const state::ConfigurationStore& aStore,
            const state::Endpoint& aSource,
+           bool aMembers,
            state::TimePoint aNow);
 
 /// @brief Answers a pull.
--- a/src/sassafrasknot/coordination/control_core_impl.cpp
+++ b/src/sassafrasknot/coordination/control_core_impl.cpp
@@ -235,6 +235,11 @@
 ControlCore::Impl::MakeRecords(const Pull& aPull, TimePoint aNow) const
 {
   auto records = AnswerPull(mStore, aPull);
+  if (aPull.mMembers) {
+    for (const auto& [id, member] : mMembership.mMembers) {
+      records.mMembers.push_back(member.mUpdate);
+    }
+  }
   for (const auto& [endpoint, departure] : mBuilder.mQuarantine.mDepartures) {
     if (departure.mMoved) {
       records.mQuarantined.push_back(
@@ -287,8 +292,9 @@
   }
   // An instance that has just started asks whoever answers first.
   if (mStore.mRecords.empty() && aMessage.mRevision > 0) {
-    Send(CompareAll(mDissemination, mStore, sender.mControlEndpoint, aNow),
-         aNow);
+    Send(
+      CompareAll(mDissemination, mStore, sender.mControlEndpoint, true, aNow),
+      aNow);
   }
 }
 
--- a/src/sassafrasknot/coordination/dissemination.cpp
+++ b/src/sassafrasknot/coordination/dissemination.cpp
@@ -213,7 +213,7 @@
   }
   if (aNow - aDissemination.mLastChange >= kSettleTime) {
     const auto compare =
-      CompareAll(aDissemination, aStore, sender.mControlEndpoint, aNow);
+      CompareAll(aDissemination, aStore, sender.mControlEndpoint, false, aNow);
     outgoing.insert(outgoing.end(), compare.begin(), compare.end());
   }
   return outgoing;
@@ -223,6 +223,7 @@
 CompareAll(Dissemination& aDissemination,
            const state::ConfigurationStore& aStore,
            const state::Endpoint& aSource,
+           bool aMembers,
            TimePoint aNow)
 {
   if (aNow - aDissemination.mCompared < kComparePeriod) {
@@ -231,8 +232,8 @@
   aDissemination.mCompared = aNow;
   const Pull pull{ aDissemination.mNextToken++,
                    {},
-                   { aStore.mBucketHashes.begin(),
-                     aStore.mBucketHashes.end() } };
+                   { aStore.mBucketHashes.begin(), aStore.mBucketHashes.end() },
+                   aMembers };
   return { { aSource, pull } };
 }
 
--- a/src/sassafrasknot/coordination/membership.cpp
+++ b/src/sassafrasknot/coordination/membership.cpp
@@ -245,6 +245,16 @@
       NoteChange(aMembership, found->second, update, result, aNow);
     }
   }
+  // Other data centres' members are not probed: one that leaves its list is
+  // gone, or comes back with the next summary.
+  const auto erased =
+    std::erase_if(aMembership.mMembers, [&](const auto& aEntry) {
+      const auto& [id, member] = aEntry;
+      return member.mUpdate.mDataCentre == aList.mDataCentre &&
+             !IsLocal(aMembership, member) && member.mListed &&
+             !listed.contains(id);
+    });
+  result.mChanged = result.mChanged || erased > 0;
   for (auto& [id, member] : aMembership.mMembers) {
     if (member.mUpdate.mDataCentre == aList.mDataCentre) {
       member.mListed = listed.contains(id);
--- a/src/sassafrasknot/coordination/membership_messages.cpp
+++ b/src/sassafrasknot/coordination/membership_messages.cpp
@@ -64,6 +64,22 @@
                                                     aSummary.mLowestRevision };
   }
 
+  /// Keeps dead members too: the published list may still show them.
+  void operator()(const Records& aRecords) const
+  {
+    for (const auto& update : aRecords.mMembers) {
+      if (update.mId != mMembership.mSelf.mId &&
+          !mMembership.mMembers.contains(update.mId)) {
+        auto& member = mMembership.mMembers[update.mId];
+        member.mUpdate = update;
+        member.mChanged = mNow;
+        mResult.mChanged = true;
+      } else {
+        TakeUpdate(mMembership, update, mResult, mNow);
+      }
+    }
+  }
+
   template<typename Other>
   void operator()(const Other& /*aOther*/) const
   {
--- a/testing/control/control_core_test.cpp
+++ b/testing/control/control_core_test.cpp
@@ -202,6 +202,26 @@
   EXPECT_EQ(fleet.StateOf(0, 4), InstanceState::Dead);
 }
 
+// Guards against an instance that starts and takes dead members for live ones
+// because the published list still shows them.
+TEST(ControlCore, StartingInstanceLearnsOfDeadMembersFromPeers)
+{
+  ControlFleet fleet({ .mInstances = 12 });
+  StartAll(fleet);
+  fleet.Run(10s);
+  for (const std::size_t dead : { 3, 5, 7, 9 }) {
+    fleet.Kill(dead);
+  }
+  fleet.Run(20s);
+  fleet.Kill(2);
+  fleet.Start(2);
+  fleet.Run(3s);
+  for (const std::size_t dead : { 3, 5, 7, 9 }) {
+    EXPECT_EQ(fleet.StateOf(2, dead), InstanceState::Dead) << dead;
+  }
+  EXPECT_EQ(fleet.StateOf(2, 4), InstanceState::Live);
+}
+
 // Guards against a second organisation that takes an address over on the
 // instances that hear of it first.
 TEST(ControlCore, SecondClaimOfAnAddressIsRejectedEverywhere)
--- a/testing/control/encoded_size.cpp
+++ b/testing/control/encoded_size.cpp
@@ -133,8 +133,8 @@
   }
   std::size_t operator()(const Pull& aBody) const
   {
-    std::size_t size =
-      Number(aBody.mToken) + Length(aBody.mBucketHashes.size() * 8);
+    std::size_t size = Number(aBody.mToken) + Number(aBody.mMembers ? 1 : 0) +
+                       Length(aBody.mBucketHashes.size() * 8);
     for (const auto& key : aBody.mKeys) {
       size += Text(key);
     }
@@ -143,7 +143,8 @@
   std::size_t operator()(const Records& aBody) const
   {
     return Number(aBody.mToken) + Repeated(aBody.mEntries) +
-           Repeated(aBody.mIndex) + Repeated(aBody.mQuarantined);
+           Repeated(aBody.mIndex) + Repeated(aBody.mQuarantined) +
+           Repeated(aBody.mMembers);
   }
   std::size_t operator()(const DataCentreSummary& aBody) const
   {
--- a/testing/measure/dissemination.cpp
+++ b/testing/measure/dissemination.cpp
@@ -23,6 +23,8 @@
   /// Whether only the first data centre reaches the platform.
   int mOneReader = 0;
   int mLossPercent = 10;
+  /// Only this number of instances; zero for all sizes.
+  int mInstances = 0;
   /// Organisations besides the one that changes.
   int mOrganisations = 20;
 };
@@ -170,6 +172,44 @@
   std::fflush(stdout);
 }
 
+/// Kills most instances of one data centre at once and prints what that costs
+/// a survivor in the minute that follows.
+void
+MeasureBadMinute(const Options& aOptions)
+{
+  constexpr std::size_t kInstances = 90;
+  constexpr std::size_t kKilled = 84;
+  testing::ControlFleet fleet(
+    { .mInstances = kInstances,
+      .mSeed = static_cast<std::uint64_t>(aOptions.mSeed),
+      .mLoss = aOptions.mLossPercent / 100.0 });
+  StartFleet(fleet, aOptions);
+  for (std::size_t index = 0; index < kKilled; ++index) {
+    fleet.Kill(index);
+  }
+  fleet.Run(60s);
+  std::uint64_t snapshots = 0;
+  double processor = 0;
+  std::size_t dead = 0;
+  for (std::size_t index = kKilled; index < kInstances; ++index) {
+    snapshots = std::max(snapshots, fleet.mInstances[index].mSnapshots);
+    processor =
+      std::max(processor, Seconds(fleet.mInstances[index].mProcessorTime));
+  }
+  for (const auto& view : fleet.SnapshotOf(kInstances - 1).mInstances) {
+    dead += view.mState == state::InstanceState::Dead ? 1 : 0;
+  }
+  std::printf(aOptions.mJson != 0
+                ? "{\"killed\":%zu,\"dead_after_60_s\":%zu,"
+                  "\"snapshots\":%llu,\"processor_percent\":%.3f}\n"
+                : "%zu of 90 killed at once: %zu known dead after 60 s, at "
+                  "most %llu snapshots, processor %.3f%%\n",
+              kKilled,
+              dead,
+              static_cast<unsigned long long>(snapshots),
+              100 * processor / 60);
+}
+
 /// Least-squares line of a value over the logarithm of the fleet's size.
 double
 Extrapolate(const std::vector<Measurement>& aResults,
@@ -217,6 +257,13 @@
       0,
       "only the first data centre reaches the platform",
       nullptr },
+    { "instances",
+      'i',
+      POPT_ARG_INT,
+      &options.mInstances,
+      0,
+      "measure this number of instances only",
+      "N" },
     { "loss", 'l', POPT_ARG_INT, &options.mLossPercent, 0, "loss", "PERCENT" },
     POPT_AUTOHELP POPT_TABLEEND
   };
@@ -226,6 +273,11 @@
     std::fprintf(stderr, "%s\n", poptStrerror(error));
     return 2;
   }
+  if (options.mInstances > 0) {
+    Print(Measure(static_cast<std::size_t>(options.mInstances), options),
+          options.mJson != 0);
+    return 0;
+  }
   std::vector<Measurement> results;
   for (const std::size_t instances : { 3, 9, 30, 90 }) {
     results.push_back(Measure(instances, options));
@@ -238,5 +290,6 @@
                   "s\n",
               Extrapolate(results, &Measurement::mP50, 590),
               Extrapolate(results, &Measurement::mMax, 590));
+  MeasureBadMinute(options);
   return 0;
 }
