--- a/examples/coordination/learn_from_peer.cpp
+++ b/examples/coordination/learn_from_peer.cpp
@@ -16,7 +16,7 @@
 
 /// Delivers messages between the cores until none is left.
 void
-Deliver(Cores& aCores, ControlActions aActions, state::TimePoint aNow)
+Deliver(Cores& aCores, const ControlActions& aActions, state::TimePoint aNow)
 {
   for (const auto& action : aActions) {
     if (const auto* send = std::get_if<coordination::SendMessage>(&action)) {
