--- a/src/sassafrasknot/coordination/shard.cpp
+++ b/src/sassafrasknot/coordination/shard.cpp
@@ -170,9 +170,8 @@
 }
 
 ShardStatus
-StatusOf(const Shard& aShard, state::TimePoint aNow)
+StatusOf(const Shard& aShard, state::TimePoint /*aNow*/)
 {
-  (void)aNow;
   ShardStatus status;
   status.mQueued = aShard.mQueue.mPositions.size();
   for (std::size_t index = 0; index < aShard.mRecords.size(); ++index) {
--- a/src/sassafrasknot/coordination/shard_test.cpp
+++ b/src/sassafrasknot/coordination/shard_test.cpp
@@ -278,35 +278,23 @@
   EXPECT_TRUE(StatusOf(*fixture.mShard, kStart).mUpstreams[0].mEligible);
 }
 
-// Guards against a new flow that takes a freed slot before the queue is
-// served.
+// Guards against a new flow that takes a freed slot before the queue is served,
+// also when long work within its share waits there: it could be overtaken
+// until its deadline.
 TEST(Shard, NewWorkDoesNotOvertakeTheQueue)
 {
-  auto fixture = MakeFixture(MakeTable(1, 1));
-  PlaceNext(fixture, FlowClass::Work);
-  PlaceNext(fixture, FlowClass::Work);
-  OnEnded(*fixture.mShard, { 1 }, FlowClass::Work, kStart, kStart + 1ms);
-  EXPECT_TRUE(std::holds_alternative<Queued>(
-    PlaceNext(fixture, FlowClass::Work, 1, kStart + 1ms)));
-  const auto served = ServeQueue(*fixture.mShard, kStart + 1ms);
-  ASSERT_EQ(served.size(), 1);
-  EXPECT_EQ(std::get<Placed>(served[0]).mFlow, 1);
-}
-
-// Guards against short work that takes each freed slot before queued long work
-// whose share is not used up: it would wait until its deadline.
-TEST(Shard, NewWorkDoesNotOvertakeLongWorkWithinItsShare)
-{
-  auto fixture = MakeFixture(MakeTable(1, 2));
-  PlaceNext(fixture, FlowClass::Work);
-  PlaceNext(fixture, FlowClass::Work);
-  PlaceNext(fixture, FlowClass::Long);
-  OnEnded(*fixture.mShard, { 1 }, FlowClass::Work, kStart, kStart + 1ms);
-  EXPECT_TRUE(std::holds_alternative<Queued>(
-    PlaceNext(fixture, FlowClass::Work, 1, kStart + 1ms)));
-  const auto served = ServeQueue(*fixture.mShard, kStart + 1ms);
-  ASSERT_EQ(served.size(), 1);
-  EXPECT_EQ(std::get<Placed>(served[0]).mFlow, 2);
+  for (const auto waiting : { FlowClass::Work, FlowClass::Long }) {
+    auto fixture = MakeFixture(MakeTable(1, 2));
+    PlaceNext(fixture, FlowClass::Work);
+    PlaceNext(fixture, FlowClass::Work);
+    PlaceNext(fixture, waiting);
+    OnEnded(*fixture.mShard, { 1 }, FlowClass::Work, kStart, kStart + 1ms);
+    EXPECT_TRUE(std::holds_alternative<Queued>(
+      PlaceNext(fixture, FlowClass::Work, 1, kStart + 1ms)));
+    const auto served = ServeQueue(*fixture.mShard, kStart + 1ms);
+    ASSERT_EQ(served.size(), 1);
+    EXPECT_EQ(std::get<Placed>(served[0]).mFlow, 2);
+  }
 }
 
 // Guards against an account that is lost when the table drops an upstream
--- a/testing/measure/scenarios.cpp
+++ b/testing/measure/scenarios.cpp
@@ -25,18 +25,18 @@
 const std::vector<Deployment>&
 Deployments()
 {
-  static const std::vector<Deployment> sDeployments{
+  static const std::vector<Deployment> kDeployments{
     { "15x2", 15, 2 },   { "4x2", 4, 2 },     { "15x3", 15, 3 },
     { "4x3", 4, 3 },     { "150x2", 150, 2 }, { "40x2", 40, 2 },
     { "150x3", 150, 3 }, { "40x3", 40, 3 },
   };
-  return sDeployments;
+  return kDeployments;
 }
 
 const std::vector<Layout>&
 Layouts()
 {
-  static const std::vector<Layout> sLayouts{
+  static const std::vector<Layout> kLayouts{
     { "owner", Policy::Owners, 1, {}, false },
     { "owner-marked", Policy::Owners, 1, {}, true },
     { "owner-3dc", Policy::Owners, 3, {}, false },
@@ -50,7 +50,7 @@
     { "own-counts-9", Policy::OwnCounts, 9, {}, false },
     { "central-queue", Policy::CentralQueue, 1, {}, false },
   };
-  return sLayouts;
+  return kLayouts;
 }
 
 Duration
