--- a/testing/measure/shard_benchmark.cpp
+++ b/testing/measure/shard_benchmark.cpp
@@ -77,7 +77,7 @@
   load.mFlowClass = aFlowClass;
   load.mCount = aCount;
   const std::size_t open =
-    aCount * (aFlowClass == state::FlowClass::Feed ? 1000 : 1);
+    std::size_t{ aCount } * (aFlowClass == state::FlowClass::Feed ? 1000 : 1);
   while (load.mOpen.size() < open) {
     PlaceBatch(load);
   }
