Encode control messages and answer opened flows in measure-path

Control messages have the wire form of peer.proto; names are bytes, as libprotobuf logs each invalid UTF-8 string of a hostile message. measure-path now completes the handshake and counts only its own packets, since a core also sends probes.

--- a/src/sassafrasknot/protocol/control_convert.cpp
+++ b/src/sassafrasknot/protocol/control_convert.cpp
@@ -1,3 +1,6 @@
+#include "sassafrasknot/protocol/document_codec.hpp"
+
+#include <memory>
 #include <utility>
 
 #include "name.hpp"
@@ -9,6 +12,7 @@
 
 using coordination::Acknowledgement;
 using coordination::ControlMessage;
+using coordination::DataCentreHeartbeat;
 using coordination::DataCentreSummary;
 using coordination::Digest;
 using coordination::DigestEntry;
@@ -84,7 +88,16 @@
   aRecord.mRevision = aWire.revision();
   aRecord.mDeleted = aWire.deleted();
   aRecord.mText = aWire.text();
-  return aRecord.mKey.size() <= kLongestKey;
+  if (aRecord.mKey.size() > kLongestKey) {
+    return false;
+  }
+  if (!aRecord.mDeleted) {
+    if (auto document = DecodeDocument(aRecord.mKey, aRecord.mText)) {
+      aRecord.mDocument =
+        std::make_shared<const state::Document>(std::move(document).value());
+    }
+  }
+  return true;
 }
 
 void
@@ -92,6 +105,7 @@
             peer::ConfigurationEntry& aWire)
 {
   RecordToWire(aEntry.mLatest, *aWire.mutable_latest());
+  aWire.set_deleted_at(aEntry.mDeletedAt);
   if (aEntry.mInForce) {
     auto& wire = *aWire.mutable_in_force();
     RecordToWire(aEntry.mInForce->mOrganisation, *wire.mutable_organisation());
@@ -108,6 +122,7 @@
 EntryFromWire(const peer::ConfigurationEntry& aWire,
               state::ConfigurationEntry& aEntry)
 {
+  aEntry.mDeletedAt = aWire.deleted_at();
   if (!RecordFromWire(aWire.latest(), aEntry.mLatest)) {
     return false;
   }
@@ -146,6 +161,25 @@
          FromWire(aWire.endpoint(), aEndpoint.mEndpoint);
 }
 
+void
+HeartbeatToWire(const DataCentreHeartbeat& aHeartbeat,
+                peer::DataCentreHeartbeat& aWire)
+{
+  aWire.set_data_centre(aHeartbeat.mDataCentre.mValue);
+  aWire.set_lowest_revision(aHeartbeat.mLowestRevision);
+  aWire.set_age_ms(static_cast<std::uint64_t>(aHeartbeat.mAge.count()));
+}
+
+bool
+HeartbeatFromWire(const peer::DataCentreHeartbeat& aWire,
+                  DataCentreHeartbeat& aHeartbeat)
+{
+  aHeartbeat.mDataCentre.mValue = aWire.data_centre();
+  aHeartbeat.mLowestRevision = aWire.lowest_revision();
+  aHeartbeat.mAge = std::chrono::milliseconds(aWire.age_ms());
+  return IsName(aWire.data_centre()) && aWire.age_ms() <= kLongestAge;
+}
+
 /// Writes each kind of body into its field of the oneof.
 struct BodyWriter
 {
@@ -176,6 +210,7 @@
   {
     auto& wire = *mWire.mutable_digest();
     wire.set_map_hash(aBody.mMapHash);
+    wire.set_answer(aBody.mAnswer);
     ListToWire(aBody.mRecent, *wire.mutable_recent(), DigestEntryToWire);
   }
   void operator()(const Pull& aBody) const
@@ -234,6 +269,7 @@
 BodyFromWire(const peer::Digest& aWire, Digest& aBody)
 {
   aBody.mMapHash = aWire.map_hash();
+  aBody.mAnswer = aWire.answer();
   return ListFromWire(aWire.recent(), aBody.mRecent, DigestEntryFromWire);
 }
 
@@ -301,6 +337,8 @@
 {
   MemberToWire(aMessage.mSender, *aWire.mutable_sender());
   aWire.set_revision(aMessage.mRevision);
+  ListToWire(
+    aMessage.mHeartbeats, *aWire.mutable_heartbeats(), HeartbeatToWire);
   std::visit(BodyWriter{ aWire }, aMessage.mBody);
 }
 
@@ -309,6 +347,8 @@
 {
   aMessage.mRevision = aWire.revision();
   return MemberFromWire(aWire.sender(), aMessage.mSender) &&
+         ListFromWire(
+           aWire.heartbeats(), aMessage.mHeartbeats, HeartbeatFromWire) &&
          BodyFromWire(aWire, aMessage.mBody);
 }
 
--- a/testing/measure/path.cpp
+++ b/testing/measure/path.cpp
@@ -9,8 +9,9 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
-#include <optional>
+#include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
@@ -60,11 +61,28 @@
       { boost::asio::ip::address_v4(aTo.mAddress.mValue), aTo.mPort });
   }
 
-  bool Receive()
+  /// Returns the size of the next datagram, in bytes; 0 after 100 ms.
+  std::size_t Receive()
   {
     // Asio's receive would wait beyond the socket's limit.
-    return recv(mSocket.native_handle(), mBuffer.data(), mBuffer.size(), 0) >=
-           0;
+    const auto size =
+      recv(mSocket.native_handle(), mBuffer.data(), mBuffer.size(), 0);
+    return size < 0 ? 0 : static_cast<std::size_t>(size);
+  }
+
+  /// Receives one of the measured packets, and skips probes and resets.
+  bool ReceiveMeasured()
+  {
+    std::size_t size = 0;
+    do {
+      size = Receive();
+    } while (size != 0 && size < kPayload);
+    return size != 0;
+  }
+
+  std::span<const std::uint8_t> Received(std::size_t aSize) const
+  {
+    return std::span(mBuffer).first(aSize);
   }
 
 private:
@@ -109,7 +127,7 @@
       ++inFlight;
     }
     for (std::size_t count = 0; count < kWindow / 2; ++count) {
-      if (!aPath.mFabric.Receive()) {
+      if (!aPath.mFabric.ReceiveMeasured()) {
         aLost += inFlight;
         inFlight = 0;
         break;
@@ -119,7 +137,7 @@
     }
   }
   const std::chrono::duration<double> elapsed = Clock::now() - start;
-  while (inFlight > 0 && aPath.mFabric.Receive()) {
+  while (inFlight > 0 && aPath.mFabric.ReceiveMeasured()) {
     --inFlight;
   }
   aLost += inFlight;
@@ -140,7 +158,7 @@
   for (std::size_t index = 0; index < kSamples; ++index) {
     const auto start = Clock::now();
     aPath.mSender.Send(aPath.mEntry, aPath.mPackets[index % kFlows]);
-    if (aPath.mFabric.Receive()) {
+    if (aPath.mFabric.ReceiveMeasured()) {
       const std::chrono::duration<double, std::micro> elapsed =
         Clock::now() - start;
       samples.push_back(elapsed.count());
@@ -153,11 +171,23 @@
   return { samples[samples.size() / 2], samples[samples.size() * 99 / 100] };
 }
 
+/// Opens the flows; the fabric answers in the name of the upstreams.
 void
 OpenFlows(const Path& aPath)
 {
   for (std::uint16_t flow = 0; flow < kFlows; ++flow) {
     aPath.mSender.Send(aPath.mEntry, MakePacket(flow, true));
+    const auto opened =
+      protocol::ParsePacket(aPath.mFabric.Received(aPath.mFabric.Receive()));
+    if (!opened) {
+      std::fprintf(stderr, "flow %u was not opened\n", unsigned{ flow });
+      continue;
+    }
+    auto answer = opened.value().mHeader;
+    std::swap(answer.mSource, answer.mDestination);
+    answer.mAck = true;
+    answer.mAcknowledged = 1000;
+    aPath.mSender.Send(aPath.mEntry, protocol::BuildPacket(answer, {}));
     aPath.mFabric.Receive();
   }
 }
