Add the control thread, the gRPC services, the dump and the daemon

The node connects the control core with the traffic threads, the platform client and the gRPC services, and ends a planned stop within its bound. Built, not yet run against a platform.

--- /dev/null
+++ b/apps/sassafrasknotd/command_line.cpp
@@ -0,0 +1,84 @@
+#include "command_line.hpp"
+
+#include <array>
+#include <memory>
+
+#include <popt.h>
+
+namespace sassafrasknotd {
+namespace {
+
+namespace state = sassafrasknot::state;
+
+constexpr const char* kHelp =
+  R"(usage: sassafrasknotd [OPTION] FILE
+
+Runs one instance of the load balancer with the settings in FILE (INI).
+
+  --check            check FILE, report every fault, and end
+  --print-settings   print the effective settings, defaults included, and end
+  --help             print this text and end
+
+SIGTERM or SIGINT begins a planned stop: the instance hands its flows over and
+ends within the bound of [stop]. A second signal ends it at once.
+
+Exit status: 0 after a complete stop, 1 if the instance could not start or
+flows were abandoned, 2 for wrong options or settings.
+)";
+
+state::Error
+UsageError(const std::string& aMessage)
+{
+  return { state::ErrorCode::InvalidArgument,
+           state::Verdict::NotRun,
+           "sassafrasknotd: " + aMessage +
+             "\nusage: sassafrasknotd [--check|--print-settings|--help] FILE" };
+}
+
+poptOption
+Flag(const char* aName, int& aValue)
+{
+  return { aName, '\0', POPT_ARG_NONE, &aValue, 0, nullptr, nullptr };
+}
+
+} // namespace
+
+state::Result<CommandLine>
+ParseCommandLine(int aArgc, const char** aArgv)
+{
+  int check = 0;
+  int print = 0;
+  int help = 0;
+  const std::array<poptOption, 4> options{ Flag("check", check),
+                                           Flag("print-settings", print),
+                                           Flag("help", help),
+                                           poptOption{} };
+  const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
+    poptGetContext("sassafrasknotd", aArgc, aArgv, options.data(), 0),
+    poptFreeContext);
+  if (const int failure = poptGetNextOpt(context.get()); failure < -1) {
+    return UsageError(
+      std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
+      poptStrerror(failure));
+  }
+  if (help != 0) {
+    return CommandLine{ Mode::Help, {}, kHelp };
+  }
+  if (check != 0 && print != 0) {
+    return UsageError("--check and --print-settings exclude each other");
+  }
+  const char* file = poptGetArg(context.get());
+  if (file == nullptr || poptPeekArg(context.get()) != nullptr) {
+    return UsageError("give exactly one FILE");
+  }
+  CommandLine line;
+  line.mFile = file;
+  if (check != 0) {
+    line.mMode = Mode::Check;
+  } else if (print != 0) {
+    line.mMode = Mode::PrintSettings;
+  }
+  return line;
+}
+
+} // namespace sassafrasknotd
--- a/apps/sassafrasknotd/module.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "sassafrasknot/state/time.hpp"
--- /dev/null
+++ b/include/sassafrasknot/transport/control_client.hpp
@@ -0,0 +1,54 @@
+#ifndef SASSAFRASKNOT_TRANSPORT_CONTROL_CLIENT_HPP
+#define SASSAFRASKNOT_TRANSPORT_CONTROL_CLIENT_HPP
+
+#include "sassafrasknot/coordination/control_message.hpp"
+#include "sassafrasknot/coordination/traffic_message.hpp"
+#include "sassafrasknot/state/endpoint.hpp"
+#include "sassafrasknot/state/error.hpp"
+#include "sassafrasknot/state/identifiers.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace sassafrasknot::transport {
+
+/// @brief Calls the gRPC services of other instances. Safe for use from
+/// several threads; answers arrive on gRPC's threads.
+class ControlClient
+{
+public:
+  ControlClient();
+  /// @brief Cancels all calls and waits for their answers.
+  ~ControlClient();
+
+  /// @brief Sends a pull.
+  /// @param aTo control endpoint of the receiver
+  /// @param aMessage the pull
+  /// @param aDone is called once with the answer; Unavailable, Malformed or
+  /// DeadlineExceeded (5 s)
+  void Exchange(
+    const state::Endpoint& aTo,
+    const coordination::ControlMessage& aMessage,
+    std::function<void(state::Result<coordination::ControlMessage>)> aDone);
+
+  /// @brief Sends a batch of a hand-over.
+  /// @param aTo control endpoint of the receiver
+  /// @param aSelf this instance
+  /// @param aBatch the batch
+  /// @param aDone is called once with the answer; Unavailable or
+  /// DeadlineExceeded (2 s)
+  void TakeOver(
+    const state::Endpoint& aTo,
+    const state::InstanceId& aSelf,
+    coordination::HandoverBatch aBatch,
+    std::function<void(state::Result<coordination::HandoverAcknowledgement>)>
+      aDone);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace sassafrasknot::transport
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/transport/control_actions.cpp
@@ -0,0 +1,58 @@
+#include "sassafrasknot/transport/log.hpp"
+
+#include <utility>
+
+#include "control_thread.hpp"
+#include <boost/asio/post.hpp>
+
+namespace sassafrasknot::transport {
+
+/// Executes one action of the control core.
+struct ControlExecutor
+{
+  ControlThread& mThread;
+
+  void operator()(const coordination::SendMessage& aAction) const
+  {
+    if (aAction.mChannel == coordination::Channel::Udp) {
+      mThread.mTraffic->SendControl(aAction.mTo, aAction.mMessage);
+      return;
+    }
+    auto& thread = mThread;
+    mThread.mClient->Exchange(
+      aAction.mTo, aAction.mMessage, [&thread](const auto& aAnswer) {
+        if (!aAnswer) {
+          return; // The core repeats pulls that stay without an answer.
+        }
+        boost::asio::post(thread.mContext, [&thread, answer = aAnswer.value()] {
+          if (thread.mTraffic) {
+            thread.OnMessage(answer);
+          }
+        });
+      });
+  }
+  void operator()(const coordination::ReadPlatform& aAction) const
+  {
+    mThread.StartPlatformCall(aAction);
+  }
+  void operator()(const coordination::PublishSnapshot& aAction) const
+  {
+    UpdateInForce(
+      mThread.mInForce, *aAction.mSnapshot, std::chrono::system_clock::now());
+    mThread.mTraffic->Publish(aAction.mSnapshot);
+  }
+  void operator()(const coordination::LogEvent& aAction) const
+  {
+    WriteLog(aAction.mLevel, aAction.mMessage, aAction.mFields);
+  }
+};
+
+void
+ControlThread::Execute(coordination::ControlActions aActions)
+{
+  for (const auto& action : aActions) {
+    std::visit(ControlExecutor{ *this }, action);
+  }
+}
+
+} // namespace sassafrasknot::transport
--- /dev/null
+++ b/src/sassafrasknot/transport/dump.cpp
@@ -0,0 +1,166 @@
+#include "sassafrasknot/transport/dump.hpp"
+
+#include <array>
+#include <ctime>
+
+#include <boost/json.hpp>
+
+namespace sassafrasknot::transport {
+namespace {
+
+namespace json = boost::json;
+
+json::object
+ToJson(const state::ShardId& aId)
+{
+  return { { "organisation", aId.mService.mOrganisation.mValue },
+           { "service", aId.mService.mName },
+           { "data_centre", aId.mDataCentre.mValue },
+           { "index", aId.mIndex } };
+}
+
+json::object
+ToJson(const coordination::UpstreamStatus& aUpstream)
+{
+  return { { "address", state::ToString(aUpstream.mAddress) },
+           { "slots_used", aUpstream.mSlotsUsed },
+           { "slots", aUpstream.mSlots },
+           { "connections_used", aUpstream.mConnectionsUsed },
+           { "connections", aUpstream.mConnections },
+           { "eligible", aUpstream.mEligible },
+           { "reason", aUpstream.mReason } };
+}
+
+json::object
+ToJson(const coordination::OwnedShardStatus& aShard)
+{
+  auto object = ToJson(aShard.mId);
+  object["owned"] = true;
+  object["backup"] = aShard.mBackup.mValue;
+  object["flows"] = aShard.mFlows;
+  object["queued"] = aShard.mShard.mQueued;
+  json::array upstreams;
+  for (const auto& upstream : aShard.mShard.mUpstreams) {
+    upstreams.push_back(ToJson(upstream));
+  }
+  object["upstreams"] = std::move(upstreams);
+  return object;
+}
+
+json::object
+ToJson(const coordination::TrafficStatus& aStatus)
+{
+  json::array shards;
+  for (const auto& shard : aStatus.mOwned) {
+    shards.push_back(ToJson(shard));
+  }
+  return { { "flows", aStatus.mFlows },
+           { "backup_records", aStatus.mBackupRecords },
+           { "recovering", aStatus.mRecovering },
+           { "copies_pending", aStatus.mCopiesPending },
+           { "shards", std::move(shards) } };
+}
+
+/// Lists the shards whose backup is this instance.
+json::array
+BackedUp(const state::Snapshot& aSnapshot)
+{
+  json::array shards;
+  for (const auto& service : aSnapshot.mServices) {
+    if (service.mTables.empty()) {
+      continue;
+    }
+    for (const auto& shard : service.mTables.front().mShards) {
+      if (shard.mOwners.size() > 1 &&
+          aSnapshot.mInstances[shard.mOwners[1]].mId == aSnapshot.mSelf) {
+        auto object = ToJson(shard.mId);
+        object["owner"] = aSnapshot.mInstances[shard.mOwners[0]].mId.mValue;
+        shards.push_back(std::move(object));
+      }
+    }
+  }
+  return shards;
+}
+
+std::string
+ToIsoTime(std::chrono::system_clock::time_point aTime)
+{
+  const auto seconds = std::chrono::system_clock::to_time_t(aTime);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> text{};
+  const auto size =
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return { text.data(), size };
+}
+
+json::array
+ToJson(const InForceTimes& aTimes)
+{
+  json::array organisations;
+  for (const auto& [id, inForce] : aTimes) {
+    organisations.push_back({ { "organisation", id.mValue },
+                              { "revision", inForce.mRevision },
+                              { "since", ToIsoTime(inForce.mSince) } });
+  }
+  return organisations;
+}
+
+} // namespace
+
+void
+UpdateInForce(InForceTimes& aTimes,
+              const state::Snapshot& aSnapshot,
+              std::chrono::system_clock::time_point aNow)
+{
+  InForceTimes times;
+  for (const auto& service : aSnapshot.mServices) {
+    if (service.mRemoved) {
+      continue;
+    }
+    const auto& id = service.mId.mOrganisation;
+    const auto known = aTimes.find(id);
+    const bool same =
+      known != aTimes.end() && known->second.mRevision == service.mRevision;
+    times[id] = same ? known->second : InForceSince{ service.mRevision, aNow };
+  }
+  aTimes = std::move(times);
+}
+
+std::string
+ComposeDump(const DumpParts& aParts)
+{
+  json::object dump;
+  dump["instance"] = aParts.mSnapshot->mSelf.mValue;
+  dump["data_centre"] = aParts.mSnapshot->mDataCentre.mValue;
+  dump["in_force"] = ToJson(aParts.mInForce);
+  boost::system::error_code failure;
+  dump["control"] = json::parse(aParts.mControl, failure);
+  json::array threads;
+  for (const auto& thread : aParts.mTraffic.mThreads) {
+    threads.push_back(ToJson(thread));
+  }
+  dump["traffic"] = std::move(threads);
+  dump["backed_up"] = BackedUp(*aParts.mSnapshot);
+  json::object counters;
+  for (const auto& [name, value] : aParts.mCounters.mValues) {
+    counters[name] = value;
+  }
+  dump["counters"] = std::move(counters);
+  return json::serialize(dump);
+}
+
+std::string
+PrometheusText(const state::Counters& aCounters)
+{
+  std::string text;
+  for (const auto& [name, value] : aCounters.mValues) {
+    const auto full = "sassafrasknot_" + name;
+    text += "# TYPE " + full +
+            (name.ends_with("_total") ? " counter\n" : " gauge\n") + full +
+            ' ' + std::to_string(value) + '\n';
+  }
+  return text;
+}
+
+} // namespace sassafrasknot::transport
--- /dev/null
+++ b/src/sassafrasknot/transport/planned_stop.cpp
@@ -0,0 +1,119 @@
+#include "planned_stop.hpp"
+
+#include "sassafrasknot/transport/log.hpp"
+
+#include <csignal>
+#include <numeric>
+#include <utility>
+
+#include "control_thread.hpp"
+#include "traffic_worker.hpp"
+#include <boost/asio/post.hpp>
+
+namespace sassafrasknot::transport {
+namespace {
+
+using coordination::LogLevel;
+
+constexpr std::chrono::seconds kReportInterval{ 1 };
+
+std::string
+Seconds(state::Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::seconds>(aDuration).count());
+}
+
+std::size_t
+FlowsOf(const TrafficReport& aReport)
+{
+  return std::accumulate(aReport.mThreads.begin(),
+                         aReport.mThreads.end(),
+                         std::size_t{ 0 },
+                         [](std::size_t aSum, const auto& aThread) {
+                           return aSum + aThread.mFlows;
+                         });
+}
+
+} // namespace
+
+void
+ControlThread::WaitForSignal()
+{
+  mSignals.async_wait([this](auto aFailure, int /*aSignal*/) {
+    if (aFailure) {
+      return;
+    }
+    if (mStop.mBegun) {
+      WriteLog(LogLevel::Warning,
+               "stop_aborted",
+               { { "reason", "second signal" },
+                 { "flows_abandoned",
+                   mStop.mHandedOver ? "0" : std::to_string(mStop.mFlows) } });
+      mContext.stop();
+      return;
+    }
+    BeginStop();
+    WaitForSignal();
+  });
+}
+
+void
+ControlThread::BeginStop()
+{
+  if (mStop.mBegun) {
+    return;
+  }
+  const auto now = TrafficNow();
+  mStop.mBegun = true;
+  mStop.mStart = mStop.mLastPacket = now;
+  WriteLog(LogLevel::Info,
+           "stop_begun",
+           { { "bound_s", Seconds(mSettings.mStopBound) } });
+  Execute(mCore.OnStopRequested(now));
+}
+
+void
+ControlThread::CheckStop(state::TimePoint aNow)
+{
+  mStop.mHandedOver = mTraffic->HandedOver();
+  switch (NextStep(mStop, aNow, mSettings.mStopBound)) {
+    case StopStep::HandedOver:
+      WriteLog(LogLevel::Info,
+               "stopped",
+               { { "after_s", Seconds(aNow - mStop.mStart) } });
+      mContext.stop();
+      return;
+    case StopStep::BoundReached:
+      WriteLog(mStop.mHandedOver ? LogLevel::Info : LogLevel::Warning,
+               "stopped",
+               { { "reason", "bound reached" },
+                 { "flows_abandoned",
+                   mStop.mHandedOver ? "0" : std::to_string(mStop.mFlows) } });
+      mContext.stop();
+      return;
+    case StopStep::Wait:
+      break;
+  }
+  if (aNow - mStop.mLastReport < kReportInterval) {
+    return;
+  }
+  mStop.mLastReport = aNow;
+  mTraffic->Collect([this](const TrafficReport& aReport) {
+    const auto flows = FlowsOf(aReport);
+    const auto packets =
+      state::ValueOf(aReport.mCounters, "packets_received_total");
+    boost::asio::post(mContext, [this, flows, packets] {
+      if (packets != std::exchange(mStop.mPackets, packets)) {
+        mStop.mLastPacket = TrafficNow();
+      }
+      mStop.mFlows = flows;
+      WriteLog(LogLevel::Info,
+               "stop_progress",
+               { { "flows", std::to_string(flows) },
+                 { "handed_over", mStop.mHandedOver ? "yes" : "no" } });
+    });
+  });
+}
+
+} // namespace sassafrasknot::transport
