--- a/apps/sassafrasknotd/command_line.cpp
+++ b/apps/sassafrasknotd/command_line.cpp
@@ -1,6 +1,7 @@
 #include "command_line.hpp"
 
 #include <array>
+#include <cstdlib>
 #include <memory>
 
 #include <popt.h>
@@ -15,6 +16,7 @@
 
 Runs one instance of the load balancer with the settings in FILE (INI).
 
+  --settings=FILE    the same as FILE
   --check            check FILE, report every fault, and end
   --print-settings   print the effective settings, defaults included, and end
   --help             print this text and end
@@ -49,14 +51,21 @@
   int check = 0;
   int print = 0;
   int help = 0;
-  const std::array<poptOption, 4> options{ Flag("check", check),
-                                           Flag("print-settings", print),
-                                           Flag("help", help),
-                                           poptOption{} };
+  char* settings = nullptr;
+  const std::array<poptOption, 5> options{
+    Flag("check", check),
+    Flag("print-settings", print),
+    Flag("help", help),
+    { "settings", '\0', POPT_ARG_STRING, &settings, 0, nullptr, nullptr },
+    poptOption{}
+  };
   const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
     poptGetContext("sassafrasknotd", aArgc, aArgv, options.data(), 0),
     poptFreeContext);
-  if (const int failure = poptGetNextOpt(context.get()); failure < -1) {
+  const int failure = poptGetNextOpt(context.get());
+  const std::unique_ptr<char, decltype(&std::free)> settingsOwner(settings,
+                                                                  std::free);
+  if (failure < -1) {
     return UsageError(
       std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
       poptStrerror(failure));
@@ -67,7 +76,7 @@
   if (check != 0 && print != 0) {
     return UsageError("--check and --print-settings exclude each other");
   }
-  const char* file = poptGetArg(context.get());
+  const char* file = settings != nullptr ? settings : poptGetArg(context.get());
   if (file == nullptr || poptPeekArg(context.get()) != nullptr) {
     return UsageError("give exactly one FILE");
   }
--- a/src/sassafrasknot/transport/planned_stop.cpp
+++ b/src/sassafrasknot/transport/planned_stop.cpp
@@ -67,9 +67,6 @@
   const auto now = TrafficNow();
   mStop.mBegun = true;
   mStop.mStart = mStop.mLastPacket = now;
-  WriteLog(LogLevel::Info,
-           "stop_begun",
-           { { "bound_s", Seconds(mSettings.mStopBound) } });
   Execute(mCore.OnStopRequested(now));
 }
 
