--- a/include/sassafrasknot/transport/dump.hpp
+++ b/include/sassafrasknot/transport/dump.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace sassafrasknot::transport {
 
@@ -26,7 +27,8 @@
 /// @param aTimes times so far; organisations that left are removed
 /// @param aSnapshot the snapshot that came into force
 /// @param aNow the time
-void
+/// @return the organisations whose revision changed
+std::vector<state::OrganisationId>
 UpdateInForce(InForceTimes& aTimes,
               const state::Snapshot& aSnapshot,
               std::chrono::system_clock::time_point aNow);
--- a/src/sassafrasknot/transport/control_actions.cpp
+++ b/src/sassafrasknot/transport/control_actions.cpp
@@ -37,8 +37,15 @@
   }
   void operator()(const coordination::PublishSnapshot& aAction) const
   {
-    UpdateInForce(
+    const auto changed = UpdateInForce(
       mThread.mInForce, *aAction.mSnapshot, std::chrono::system_clock::now());
+    for (const auto& organisation : changed) {
+      const auto revision = mThread.mInForce[organisation].mRevision;
+      WriteLog(coordination::LogLevel::Info,
+               "in_force",
+               { { "organisation", organisation.mValue },
+                 { "revision", std::to_string(revision) } });
+    }
     mThread.mTraffic->Publish(aAction.mSnapshot);
   }
   void operator()(const coordination::LogEvent& aAction) const
--- a/src/sassafrasknot/transport/dump.cpp
+++ b/src/sassafrasknot/transport/dump.cpp
@@ -108,23 +108,28 @@
 
 } // namespace
 
-void
+std::vector<state::OrganisationId>
 UpdateInForce(InForceTimes& aTimes,
               const state::Snapshot& aSnapshot,
               std::chrono::system_clock::time_point aNow)
 {
   InForceTimes times;
+  std::vector<state::OrganisationId> changed;
   for (const auto& service : aSnapshot.mServices) {
-    if (service.mRemoved) {
+    const auto& id = service.mId.mOrganisation;
+    if (service.mRemoved || times.contains(id)) {
       continue;
     }
-    const auto& id = service.mId.mOrganisation;
-    const auto known = aTimes.find(id);
-    const bool same =
-      known != aTimes.end() && known->second.mRevision == service.mRevision;
-    times[id] = same ? known->second : InForceSince{ service.mRevision, aNow };
+    if (const auto known = aTimes.find(id);
+        known != aTimes.end() && known->second.mRevision == service.mRevision) {
+      times.insert(*known);
+    } else {
+      times[id] = { service.mRevision, aNow };
+      changed.push_back(id);
+    }
   }
   aTimes = std::move(times);
+  return changed;
 }
 
 std::string
--- a/src/sassafrasknot/transport/held_packets.hpp
+++ b/src/sassafrasknot/transport/held_packets.hpp
@@ -10,8 +10,8 @@
 
 namespace sassafrasknot::transport {
 
-/// Packets that wait for an upstream, by token. The oldest packet of a token
-/// that is used again is replaced.
+/// Packets that wait for an upstream, by token. A packet replaces an earlier
+/// one with the same token.
 class HeldPackets
 {
 public:
--- /dev/null
+++ b/src/sassafrasknot/transport/node_test.cpp
@@ -0,0 +1,128 @@
+#include "sassafrasknot/transport/dump.hpp"
+#include "sassafrasknot/transport/log.hpp"
+#include "sassafrasknot/transport/node.hpp"
+
+#include "free_endpoint.hpp"
+#include "planned_stop.hpp"
+#include "test_snapshot.hpp"
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+namespace sassafrasknot::transport {
+namespace {
+
+using namespace std::chrono_literals;
+
+protocol::Settings
+MakeSettings()
+{
+  protocol::Settings settings;
+  settings.mInstance = { "a" };
+  settings.mDataCentre = { "dc" };
+  settings.mPeerEndpoint = FreeEndpoint();
+  settings.mControlEndpoint = FreeEndpoint();
+  settings.mFabricEndpoint = FreeEndpoint();
+  settings.mPlatformEndpoints = { FreeEndpoint() };
+  return settings;
+}
+
+// Guards against an instance that needs the platform or a peer to start, and
+// against one that does not end by itself when it has no flows.
+TEST(Node, StartsAloneAndEndsByItself)
+{
+  auto settings = MakeSettings();
+  settings.mStopBound = 30s;
+  auto node = Node::Start(settings);
+  ASSERT_TRUE(node.has_value()) << node.error().mMessage;
+  node.value()->Stop();
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(node.value()->Run());
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 10s);
+}
+
+// Guards against a start that hides a port in use.
+TEST(Node, NamesTheEndpointInUse)
+{
+  auto settings = MakeSettings();
+  const auto first = Node::Start(settings);
+  ASSERT_TRUE(first.has_value());
+  const auto second = Node::Start(settings);
+  ASSERT_FALSE(second.has_value());
+  EXPECT_NE(
+    second.error().mMessage.find(state::ToString(settings.mPeerEndpoint)),
+    std::string::npos);
+}
+
+// Guards against a stop that ends while packets still arrive, or never.
+TEST(PlannedStop, EndsWhenQuietOrAtTheBound)
+{
+  PlannedStop stop;
+  stop.mBegun = true;
+  const auto start = stop.mStart = stop.mLastPacket = state::TimePoint{} + 1h;
+  EXPECT_EQ(NextStep(stop, start + 59s, 60s), StopStep::Wait);
+  EXPECT_EQ(NextStep(stop, start + 60s, 60s), StopStep::BoundReached);
+  stop.mHandedOver = true;
+  stop.mLastPacket = start + 10s;
+  EXPECT_EQ(NextStep(stop, start + 11s, 60s), StopStep::Wait);
+  EXPECT_EQ(NextStep(stop, start + 12s, 60s), StopStep::HandedOver);
+}
+
+// Guards against log lines that a hostile value breaks or forges.
+TEST(Log, QuotesValues)
+{
+  EXPECT_EQ(FormatLogLine("reset", { { "service", "a b" } }),
+            "event=reset service=\"a b\"");
+  EXPECT_EQ(FormatLogLine("reset", { { "x", "1\n\"y=2\\" } }),
+            "event=reset x=\"1\\x0a\\\"y=2\\\\\"");
+  EXPECT_EQ(FormatLogLine("reset", { { "x", "" }, { "y", "1" } }),
+            "event=reset x=\"\" y=1");
+}
+
+// Guards against a dump without what operators look for: revisions with their
+// time, shards owned and backed up, upstreams with reasons, and counters.
+TEST(Dump, ShowsStateOfAllParts)
+{
+  DumpParts parts;
+  auto snapshot = MakeTestSnapshot(
+    { MakeTestInstance("a", {}), MakeTestInstance("b", {}) }, 0);
+  snapshot->mServices[0].mTables[0].mShards[0].mOwners = { 1, 0 };
+  parts.mSnapshot = snapshot;
+  parts.mControl = R"({"members":[]})";
+  const std::chrono::system_clock::time_point time{ 86400s };
+  EXPECT_EQ(UpdateInForce(parts.mInForce, *snapshot, time).size(), 1);
+  EXPECT_TRUE(UpdateInForce(parts.mInForce, *snapshot, time + 1s).empty());
+  coordination::OwnedShardStatus shard;
+  shard.mShard.mUpstreams = { { { 1 }, 1, 2, 3, 4, false, "refusals" } };
+  coordination::TrafficStatus status;
+  status.mOwned = { shard };
+  parts.mTraffic.mThreads = { status };
+  parts.mCounters.mValues = { { "packets_received_total", 9 } };
+
+  const auto dump = boost::json::parse(ComposeDump(parts)).as_object();
+  EXPECT_EQ(dump.at("instance").as_string(), "a");
+  const auto& inForce = dump.at("in_force").at(0).as_object();
+  EXPECT_EQ(inForce.at("revision").to_number<int>(), 1);
+  EXPECT_EQ(inForce.at("since").as_string(), "1970-01-02T00:00:00Z");
+  EXPECT_TRUE(dump.at("control").as_object().contains("members"));
+  const auto& owned = dump.at("traffic").at(0).at("shards").at(0).as_object();
+  EXPECT_TRUE(owned.at("owned").as_bool());
+  EXPECT_EQ(owned.at("upstreams").at(0).at("reason").as_string(), "refusals");
+  EXPECT_EQ(dump.at("backed_up").at(0).at("owner").as_string(), "b");
+  EXPECT_EQ(dump.at("counters").at("packets_received_total").to_number<int>(),
+            9);
+}
+
+// Guards against text that a Prometheus scraper refuses.
+TEST(Dump, WritesPrometheusText)
+{
+  state::Counters counters;
+  counters.mValues = { { "flows", 1 }, { "packets_received_total", 2 } };
+  EXPECT_EQ(PrometheusText(counters),
+            "# TYPE sassafrasknot_flows gauge\n"
+            "sassafrasknot_flows 1\n"
+            "# TYPE sassafrasknot_packets_received_total counter\n"
+            "sassafrasknot_packets_received_total 2\n");
+}
+
+} // namespace
+} // namespace sassafrasknot::transport
--- a/src/sassafrasknot/transport/traffic_pool_test.cpp
+++ b/src/sassafrasknot/transport/traffic_pool_test.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <future>
 
+#include "free_endpoint.hpp"
 #include "test_snapshot.hpp"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -97,7 +98,7 @@
     std::vector<state::InstanceView> views;
     for (std::size_t index = 0; index < instances; ++index) {
       views.push_back(
-        MakeTestInstance("i" + std::to_string(index), Fabric().Local()));
+        MakeTestInstance("i" + std::to_string(index), FreeEndpoint()));
     }
     std::vector<std::unique_ptr<TrafficPool>> pools;
     for (std::size_t index = 0; index < instances; ++index) {
@@ -129,7 +130,7 @@
 TEST(TrafficPool, CountsDropsByReason)
 {
   Fabric fabric;
-  const auto endpoint = Fabric().Local();
+  const auto endpoint = FreeEndpoint();
   auto pool =
     StartPool(endpoint,
               fabric.Local(),
@@ -169,7 +170,7 @@
 {
   Fabric fabric;
   TrafficOptions options;
-  options.mListen = Fabric().Local();
+  options.mListen = FreeEndpoint();
   options.mFabric = fabric.Local();
   options.mStallLimit = std::chrono::milliseconds(1);
   auto pool = TrafficPool::Start(
