Read the owned shards of a dump from one member

Cause: the traffic core's status lists only shards that the instance owns. Conclusion: fleet reads arrays named owned_shards, whose entries have organisation, service, data_centre and index.

--- a/apps/sassafrasknotctl/fleet_view.cpp
+++ b/apps/sassafrasknotctl/fleet_view.cpp
@@ -157,10 +157,8 @@
   member.mHighest = Number(Find(dump, "highest_revision"));
   member.mTrusted = Text(Find(dump, "trusted")) != "false";
   member.mStopping = Text(Find(dump, "stopping")) == "true";
-  ForEachEntry(dump, "shards", [&](const json::value& aShard) {
-    if (Text(Find(aShard, "owned")) == "true") {
-      member.mOwned.push_back(ShardName(aShard));
-    }
+  ForEachEntry(dump, "owned_shards", [&](const json::value& aShard) {
+    member.mOwned.push_back(ShardName(aShard));
   });
   ForEachEntry(dump, "members", [&](const json::value& aMember) {
     if (Text(Find(aMember, "health")) == "alive") {
--- a/apps/sassafrasknotctl/fleet_view_test.cpp
+++ b/apps/sassafrasknotctl/fleet_view_test.cpp
@@ -5,6 +5,10 @@
 namespace sassafrasknotctl {
 namespace {
 
+constexpr const char* kShard =
+  R"({"organisation":"kandyan","service":"intake","data_centre":"galle",
+  "index":0,"flows":7})";
+
 // A dump as an instance composes it from its parts; numbers may be strings.
 std::string
 Dump(const std::string& aName,
@@ -15,17 +19,16 @@
          R"(","data_centre":"galle","revision_in_force":")" + aRevision +
          R"(","highest_revision":"9","trusted":"true","stopping":"false",
          "members":[{"id":"a","health":"alive"},{"id":"b","health":"alive"}]},
-         "traffic":[{"shards":[{"organisation":"kandyan","service":"intake",
-         "data_centre":"galle","index":0,"owned":)" +
-         aOwned + "}]}]}";
+         "traffic":[{"owned_shards":[)" +
+         aOwned + "]}]}";
 }
 
 // Guards against an instance that lags and is not named.
 TEST(FleetView, NamesInstancesThatAreBehind)
 {
   const auto view =
-    CompareMembers({ ReadMember("127.0.0.1:1", Dump("a", "9", "true")),
-                     ReadMember("127.0.0.1:2", Dump("b", "7", "false")) });
+    CompareMembers({ ReadMember("127.0.0.1:1", Dump("a", "9", kShard)),
+                     ReadMember("127.0.0.1:2", Dump("b", "7", "")) });
   EXPECT_EQ(view.mHighest, 9U);
   EXPECT_EQ(view.mEverywhere, 7U);
   EXPECT_EQ(view.mBehind, std::vector<std::string>{ "b" });
@@ -38,8 +41,8 @@
 TEST(FleetView, NamesShardsWithTwoOwners)
 {
   const auto view =
-    CompareMembers({ ReadMember("127.0.0.1:1", Dump("a", "9", "true")),
-                     ReadMember("127.0.0.1:2", Dump("b", "9", "true")) });
+    CompareMembers({ ReadMember("127.0.0.1:1", Dump("a", "9", kShard)),
+                     ReadMember("127.0.0.1:2", Dump("b", "9", kShard)) });
   ASSERT_EQ(view.mTwoOwners.size(), 1U);
   EXPECT_EQ(view.mTwoOwners.begin()->first, "kandyan intake galle 0");
   EXPECT_NE(
@@ -53,7 +56,7 @@
   const auto malformed = ReadMember("127.0.0.1:1", "{");
   EXPECT_FALSE(malformed.mFault.empty());
   const auto view = CompareMembers(
-    { malformed, ReadMember("127.0.0.1:2", Dump("b", "9", "true")) });
+    { malformed, ReadMember("127.0.0.1:2", Dump("b", "9", kShard)) });
   EXPECT_FALSE(Agrees(view));
   EXPECT_EQ(view.mEverywhere, 9U);
   EXPECT_FALSE(InForceEverywhere(view, 9));
@@ -66,8 +69,8 @@
 TEST(FleetView, NamesInstancesThatOthersDoNotSee)
 {
   const auto view =
-    CompareMembers({ ReadMember("127.0.0.1:1", Dump("a", "9", "true")),
-                     ReadMember("127.0.0.1:3", Dump("c", "9", "false")) });
+    CompareMembers({ ReadMember("127.0.0.1:1", Dump("a", "9", kShard)),
+                     ReadMember("127.0.0.1:3", Dump("c", "9", "")) });
   ASSERT_EQ(view.mUnseen.size(), 1U);
   EXPECT_EQ(view.mUnseen.at("c"), std::vector<std::string>{ "a" });
 }
