--- a/apps/sassafrasknotctl/fleet_format.cpp
+++ b/apps/sassafrasknotctl/fleet_format.cpp
@@ -86,6 +86,13 @@
   }
   output << "in force everywhere: " << aView.mEverywhere
          << ", highest seen: " << aView.mHighest << '\n';
+  for (const auto& [organisation, everywhere] : aView.mOrganisations) {
+    output << organisation << ": revision " << everywhere.mRevision
+           << (everywhere.mSince.empty()
+                 ? " is not in force everywhere"
+                 : " in force everywhere since " + everywhere.mSince)
+           << '\n';
+  }
   if (!aView.mBehind.empty()) {
     output << "behind: " << Joined(aView.mBehind) << '\n';
   }
@@ -102,6 +109,11 @@
 std::string
 FleetToJson(const FleetView& aView)
 {
+  json::object organisations;
+  for (const auto& [organisation, everywhere] : aView.mOrganisations) {
+    organisations[organisation] = { { "revision", everywhere.mRevision },
+                                    { "since", everywhere.mSince } };
+  }
   json::array members;
   for (const auto& member : aView.mMembers) {
     members.push_back(ToObject(member));
@@ -114,6 +126,7 @@
              json::array(aView.mBehind.begin(), aView.mBehind.end()) },
            { "two_owners", ToObject(aView.mTwoOwners) },
            { "unseen", ToObject(aView.mUnseen) },
+           { "organisations", organisations },
            { "instances", members } }) +
          '\n';
 }
--- a/apps/sassafrasknotctl/fleet_view.cpp
+++ b/apps/sassafrasknotctl/fleet_view.cpp
@@ -138,6 +138,28 @@
   }
 }
 
+// A time in ISO 8601 compares as text.
+void
+CompareOrganisations(FleetView& aView, const std::vector<FleetMember>& aMembers)
+{
+  for (const auto& member : aMembers) {
+    for (const auto& [organisation, here] : member.mInForceSince) {
+      auto& everywhere = aView.mOrganisations[organisation];
+      everywhere.mRevision = std::max(everywhere.mRevision, here.mRevision);
+      everywhere.mSince = std::max(everywhere.mSince, here.mSince);
+    }
+  }
+  for (auto& [organisation, everywhere] : aView.mOrganisations) {
+    for (const auto& member : aMembers) {
+      const auto here = member.mInForceSince.find(organisation);
+      if (here == member.mInForceSince.end() ||
+          here->second.mRevision != everywhere.mRevision) {
+        everywhere.mSince.clear();
+      }
+    }
+  }
+}
+
 } // namespace
 
 FleetMember
@@ -157,8 +179,16 @@
   member.mHighest = Number(Find(dump, "highest_revision"));
   member.mTrusted = Text(Find(dump, "trusted")) != "false";
   member.mStopping = Text(Find(dump, "stopping")) == "true";
-  ForEachEntry(dump, "owned_shards", [&](const json::value& aShard) {
-    member.mOwned.push_back(ShardName(aShard));
+  ForEachEntry(dump, "shards", [&](const json::value& aShard) {
+    // Several threads of an instance may list the same shard.
+    if (Text(Find(aShard, "owned")) == "true") {
+      member.mOwned.insert(ShardName(aShard));
+    }
+  });
+  ForEachEntry(dump, "in_force", [&](const json::value& aEntry) {
+    member.mInForceSince[Text(Find(aEntry, "organisation"))] = {
+      Number(Find(aEntry, "revision")), Text(Find(aEntry, "since"))
+    };
   });
   ForEachEntry(dump, "members", [&](const json::value& aMember) {
     if (Text(Find(aMember, "health")) == "alive") {
@@ -177,6 +207,7 @@
   CompareRevisions(view, answering);
   CompareOwners(view, answering);
   CompareMembership(view, answering);
+  CompareOrganisations(view, answering);
   return view;
 }
 
--- a/apps/sassafrasknotctl/fleet_view.hpp
+++ b/apps/sassafrasknotctl/fleet_view.hpp
@@ -3,13 +3,21 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace sassafrasknotctl {
 
+/// @brief Revision of an organisation and when it came into force.
+struct RevisionSince
+{
+  std::uint64_t mRevision = 0;
+  /// ISO 8601 time in UTC; empty while it is not in force everywhere.
+  std::string mSince;
+};
+
 /// @brief What one instance says of itself, or that it does not answer.
 struct FleetMember
 {
@@ -24,7 +32,9 @@
   bool mTrusted = true;
   bool mStopping = false;
   /// Shards that it owns, such as "kandyan/scheduling galle 0".
-  std::vector<std::string> mOwned;
+  std::set<std::string> mOwned;
+  /// Organisations that it serves.
+  std::map<std::string, RevisionSince> mInForceSince;
   /// Members that it takes for alive.
   std::vector<std::string> mAlive;
 };
@@ -44,6 +54,9 @@
   /// Answering instances that another answering one does not take for alive,
   /// with those that do not see them.
   std::map<std::string, std::vector<std::string>> mUnseen;
+  /// Highest revision of each organisation and when the last answering
+  /// instance put it in force.
+  std::map<std::string, RevisionSince> mOrganisations;
 };
 
 /// @brief Reads a dump.
--- a/apps/sassafrasknotctl/fleet_view_test.cpp
+++ b/apps/sassafrasknotctl/fleet_view_test.cpp
@@ -7,7 +7,7 @@
 
 constexpr const char* kShard =
   R"({"organisation":"kandyan","service":"intake","data_centre":"galle",
-  "index":0,"flows":7})";
+  "index":0,"owned":true,"flows":7})";
 
 // A dump as an instance composes it from its parts; numbers may be strings.
 std::string
@@ -19,7 +19,7 @@
          R"(","data_centre":"galle","revision_in_force":")" + aRevision +
          R"(","highest_revision":"9","trusted":"true","stopping":"false",
          "members":[{"id":"a","health":"alive"},{"id":"b","health":"alive"}]},
-         "traffic":[{"owned_shards":[)" +
+         "traffic":[{"shards":[)" +
          aOwned + "]}]}";
 }
 
@@ -75,6 +75,29 @@
   EXPECT_EQ(view.mUnseen.at("c"), std::vector<std::string>{ "a" });
 }
 
+// Guards against a time at which a revision was not in force everywhere yet.
+TEST(FleetView, TellsWhenARevisionCameIntoForceEverywhere)
+{
+  const auto member = [](const std::string& aName,
+                         const std::string& aRevision,
+                         const std::string& aSince) {
+    return ReadMember(
+      "127.0.0.1:1",
+      R"({"instance":")" + aName +
+        R"(","in_force":[{"organisation":"kandyan","revision":)" + aRevision +
+        R"(,"since":"2026-01-01T00:00:)" + aSince + R"(Z"}]})");
+  };
+  const auto settled =
+    CompareMembers({ member("a", "5", "03"), member("b", "5", "07") });
+  EXPECT_EQ(settled.mOrganisations.at("kandyan").mRevision, 5U);
+  EXPECT_EQ(settled.mOrganisations.at("kandyan").mSince,
+            "2026-01-01T00:00:07Z");
+  const auto unsettled =
+    CompareMembers({ member("a", "6", "09"), member("b", "5", "07") });
+  EXPECT_EQ(unsettled.mOrganisations.at("kandyan").mRevision, 6U);
+  EXPECT_EQ(unsettled.mOrganisations.at("kandyan").mSince, "");
+}
+
 // Guards against values of a dump that its text leaves out.
 TEST(DumpView, ShowsAllValues)
 {
