--- a/apps/sassafrasknotctl/caller_set.cpp
+++ b/apps/sassafrasknotctl/caller_set.cpp
@@ -30,6 +30,8 @@
   connection.mOutput.clear();
   if (connection.mState == TcpState::Ended && !aRunning.mForget) {
     AddFlow(aSet.mReport.mTargets[aRunning.mTarget], aRunning.mCaller);
+    NoteFault(
+      aSet.mReport, aRunning.mTarget, aRunning.mCaller, aSet.mBegin, aNow);
     aRunning.mForget =
       connection.mEnd == TcpEnd::Finished ? aNow + kLinger : aNow;
   }
--- a/apps/sassafrasknotctl/load_report.cpp
+++ b/apps/sassafrasknotctl/load_report.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Enough to see a pattern.
+constexpr std::size_t kFaultyFlows = 50;
+
 double
 Milliseconds(state::Duration aDuration)
 {
@@ -48,6 +51,21 @@
            { "max", Percentile(aTimes, 1.0) } };
 }
 
+json::array
+ToArray(const std::vector<FaultyFlow>& aFlows)
+{
+  json::array flows;
+  for (const auto& flow : aFlows) {
+    flows.push_back({ { "target", flow.mTarget },
+                      { "caller", state::ToString(flow.mCaller) },
+                      { "upstream", flow.mUpstream },
+                      { "reason", flow.mReason },
+                      { "opened_s", flow.mOpened },
+                      { "ended_s", flow.mEnded } });
+  }
+  return flows;
+}
+
 json::object
 Totals(const FlowTotals& aTotals)
 {
@@ -135,6 +153,25 @@
   }
 }
 
+void
+NoteFault(LoadReport& aReport,
+          const std::string& aTarget,
+          const Caller& aCaller,
+          state::TimePoint aBegin,
+          state::TimePoint aNow)
+{
+  if ((aCaller.mOutcome != Outcome::Broken && !aCaller.mMisrouted) ||
+      aReport.mFaulty.size() >= kFaultyFlows) {
+    return;
+  }
+  aReport.mFaulty.push_back({ aTarget,
+                              aCaller.mPlan.mCaller,
+                              aCaller.mUpstream,
+                              aCaller.mReason,
+                              Milliseconds(aCaller.mPlan.mDue - aBegin) / 1000,
+                              Milliseconds(aNow - aBegin) / 1000 });
+}
+
 void
 Merge(FlowTotals& aSum, const FlowTotals& aOther)
 {
@@ -204,6 +241,7 @@
   }
   auto object = Totals(Sum(aReport));
   object["targets"] = std::move(targets);
+  object["faulty_flows"] = ToArray(aReport.mFaulty);
   object["send_failures"] = aReport.mSendFailures;
   object["seed"] = aReport.mSeed;
   return json::serialize(object) + '\n';
--- a/apps/sassafrasknotctl/load_report.hpp
+++ b/apps/sassafrasknotctl/load_report.hpp
@@ -39,9 +39,24 @@
   std::vector<double> mAnswerTimes;
 };
 
+/// @brief A flow that was broken or misrouted, for the search for the cause.
+struct FaultyFlow
+{
+  std::string mTarget;
+  state::Endpoint mCaller;
+  std::string mUpstream;
+  std::string mReason;
+  /// Time from the begin of the run to the flow's opening and its end, in
+  /// seconds.
+  double mOpened = 0;
+  double mEnded = 0;
+};
+
 /// @brief The result of a run.
 struct LoadReport
 {
+  /// The first faulty flows.
+  std::vector<FaultyFlow> mFaulty;
   /// Totals by target, such as "feed kandyan/scheduling".
   std::map<std::string, FlowTotals> mTargets;
   /// Datagrams that the own socket did not take.
@@ -55,6 +70,20 @@
 void
 AddFlow(FlowTotals& aTotals, const Caller& aCaller);
 
+/// @brief Notes a flow that has ended if it was broken or misrouted and not
+/// too many are noted already.
+/// @param aReport receives the flow
+/// @param aTarget its target
+/// @param aCaller the flow
+/// @param aBegin begin of the run
+/// @param aNow end of the flow
+void
+NoteFault(LoadReport& aReport,
+          const std::string& aTarget,
+          const Caller& aCaller,
+          state::TimePoint aBegin,
+          state::TimePoint aNow);
+
 /// @brief Adds the totals of another target.
 /// @param aSum receives the sums
 /// @param aOther the other totals
