Let a shard span all data centres of its service

Change: shards no longer belong to a data centre. The owner is the rendezvous winner among the live instances of the data centres that hold upstreams of the shard and that can be reached; upstreams of a data centre that is cut off take no new flow. Each side of a partition so has an owner for its own upstreams, and the one that loses ownership when the partition heals hands its flows over. Conclusion: the forward hop stays one hop, as flows crossed data centres before.

--- a/apps/sassafrasknotctl/fleet_view.cpp
+++ b/apps/sassafrasknotctl/fleet_view.cpp
@@ -78,7 +78,7 @@
 {
   std::string name;
   for (const auto* part :
-       { "organisation", "service", "data_centre", "index" }) {
+       { "organisation", "service", "index" }) {
     if (const auto text = Text(Find(aShard, part)); !text.empty()) {
       name += (name.empty() ? "" : " ") + text;
     }
--- a/examples/state/rank_owners.cpp
+++ b/examples/state/rank_owners.cpp
@@ -16,14 +16,16 @@
     instance.mHash = HashBytes(name);
     instances.push_back(instance);
   }
+  const std::set<DataCentreId> reachable{ { "colombo" } };
   ShardTable shard;
-  shard.mId = { { { "bells" }, "scheduling" }, { "colombo" }, 0 };
+  shard.mId = { { { "bells" }, "scheduling" }, 0 };
+  shard.mDataCentres = { { "colombo" } };
   shard.mHash = HashBytes("bells/scheduling/colombo/0");
-  const auto before = RankOwners(instances, shard, 2);
+  const auto before = RankOwners(instances, shard, reachable, 2);
   std::cout << "owner " << instances[before[0]].mId.mValue << ", backup "
             << instances[before[1]].mId.mValue << '\n';
   instances[before[0]].mState = InstanceState::Dead;
-  const auto after = RankOwners(instances, shard, 1);
+  const auto after = RankOwners(instances, shard, reachable, 1);
   std::cout << "after its death " << instances[after[0]].mId.mValue << '\n';
   return after[0] == before[1] ? 0 : 1;
 }
--- a/include/sassafrasknot/state/identifiers.hpp
+++ b/include/sassafrasknot/state/identifiers.hpp
@@ -31,11 +31,10 @@
   auto operator<=>(const ServiceId&) const = default;
 };
 
-/// @brief A shard: one part of a service's upstreams in one data centre.
+/// @brief A shard: one part of a service's upstreams in all data centres.
 struct ShardId
 {
   ServiceId mService;
-  DataCentreId mDataCentre;
   std::uint32_t mIndex = 0;
 
   auto operator<=>(const ShardId&) const = default;
--- a/include/sassafrasknot/state/snapshot.hpp
+++ b/include/sassafrasknot/state/snapshot.hpp
@@ -22,6 +22,9 @@
   std::uint32_t mConnections = 0;
   UpstreamState mState = UpstreamState::Live;
   std::uint64_t mHash = 0;
+  DataCentreId mDataCentre;
+  /// False while its data centre is cut off: it takes no new flow.
+  bool mReachable = true;
 };
 
 /// @brief The upstreams of one shard at one revision.
@@ -30,7 +33,10 @@
   ShardId mId;
   std::uint64_t mHash = 0;
   std::vector<TableEntry> mUpstreams;
-  /// Live instances of the shard's data centre in rendezvous order, as indices
+  /// Data centres of the upstreams, in order; their instances may own the
+  /// shard.
+  std::vector<DataCentreId> mDataCentres;
+  /// Live instances that can be reached, in rendezvous order, as indices
   /// into Snapshot::mInstances: owner, backup, then one more.
   std::vector<std::uint32_t> mOwners;
 };
@@ -112,8 +118,7 @@
 };
 
 /// @brief Makes the table of one service. An upstream's shard depends on its
-/// address and data centre alone, so that it moves only when the number of
-/// shards changes.
+/// address alone, so that it moves only when the number of shards changes.
 /// @param aService the service
 /// @param aId its id
 /// @param aRevision revision of the service
@@ -123,11 +128,20 @@
                  const ServiceId& aId,
                  Revision aRevision);
 
-/// @brief Fills ShardTable::mOwners of all shards.
+/// @brief Fills ShardTable::mOwners and TableEntry::mReachable of all shards.
 /// @param aTable the table
 /// @param aInstances instances of all data centres
+/// @param aReachable data centres that this instance reaches
+void
+AssignOwners(ServiceTable& aTable,
+             const std::vector<InstanceView>& aInstances,
+             const std::set<DataCentreId>& aReachable);
+
+/// @brief Notes which upstreams of a shard can be reached.
+/// @param aShard the shard
+/// @param aReachable data centres that this instance reaches
 void
-AssignOwners(ServiceTable& aTable, const std::vector<InstanceView>& aInstances);
+MarkReachable(ShardTable& aShard, const std::set<DataCentreId>& aReachable);
 
 /// @brief Ranks the shards of a flow by rendezvous weighted with slots.
 /// @param aTable the service's table
@@ -153,10 +167,12 @@
 /// @param aShard the shard
 /// @param aCount how many are wanted at most; the first is the owner, the
 /// second the backup
-/// @return indices into aInstances; only live ones of the shard's data centre
+/// @return indices into aInstances; only live ones of the shard's data centres
+/// that can be reached
 std::vector<std::uint32_t>
 RankOwners(const std::vector<InstanceView>& aInstances,
            const ShardTable& aShard,
+           const std::set<DataCentreId>& aReachable,
            std::size_t aCount);
 
 } // namespace sassafrasknot::state
--- a/include/sassafrasknot/state/snapshot_builder.hpp
+++ b/include/sassafrasknot/state/snapshot_builder.hpp
@@ -34,7 +34,7 @@
   TimePoint mSince;
 };
 
-/// @brief Owners of the shards of one data centre.
+/// @brief Owners of the shards that the instances of some data centres share.
 struct OwnerCache
 {
   std::vector<InstanceId> mLive;
@@ -48,7 +48,8 @@
   std::map<ServiceId, ServiceHistory> mServices;
   std::map<Endpoint, RetainedUpstream> mRetained;
   std::map<Endpoint, std::pair<ServiceId, std::uint16_t>> mUpstreams;
-  std::map<DataCentreId, OwnerCache> mOwners;
+  /// By the data centres that can be reached.
+  std::map<std::vector<DataCentreId>, OwnerCache> mOwners;
   Quarantine mQuarantine;
   std::uint64_t mSequence = 0;
 };
--- a/src/sassafrasknot/coordination/flow_lifecycle.cpp
+++ b/src/sassafrasknot/coordination/flow_lifecycle.cpp
@@ -106,7 +106,7 @@
   const auto* const table = TableOf(aState, aEntry.mShard);
   const auto* const upstream =
     table == nullptr ? nullptr : FindUpstream(*table, aUpstream);
-  CheckInvariant(upstream != nullptr &&
+  CheckInvariant(upstream != nullptr && upstream->mReachable &&
                    upstream->mState == state::UpstreamState::Live,
                  "placed_on_leaving_upstream",
                  aState.mCounters);
--- a/src/sassafrasknot/coordination/flow_route.cpp
+++ b/src/sassafrasknot/coordination/flow_route.cpp
@@ -45,8 +45,7 @@
        ++rank) {
     const auto& shard = table.mShards[ranked[rank]];
     const auto* const owner = OwnerOf(aIndex, shard.mHash);
-    if (owner != nullptr &&
-        snapshot.mReachable.contains(shard.mId.mDataCentre)) {
+    if (owner != nullptr) {
       route.push_back({ &shard, owner, rank });
     }
   }
--- a/src/sassafrasknot/coordination/recovery.cpp
+++ b/src/sassafrasknot/coordination/recovery.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t kProbesToSettle = 2;
 /// After this the caller is reset, so that it reconnects instead of hanging.
 constexpr auto kRecoveryTimeout = std::chrono::seconds{ 5 };
-/// The same while the data centre of the flow's first shard is cut off. A
+/// The same while a data centre of the flow's shard is cut off. A
 /// caller that hangs for longer is worse off than one that reconnects to this
 /// side.
 constexpr auto kCutOffTimeout = std::chrono::seconds{ 20 };
@@ -50,7 +50,7 @@
   }
   for (const auto& instance : aState.mIndex.mSnapshot->mInstances) {
     if (instance.mState == state::InstanceState::Leaving &&
-        instance.mDataCentre == shard.mId.mDataCentre) {
+        std::ranges::binary_search(shard.mDataCentres, instance.mDataCentre)) {
       AddTarget(aState, targets, &instance);
     }
   }
@@ -92,8 +92,8 @@
   }
 }
 
-/// Returns how long a look-up may take: longer while the data centre of the
-/// flow's first shard is cut off, since the flow may be there.
+/// Returns how long a look-up may take: longer while a data centre of the
+/// flow's shard is cut off, since the flow may be there.
 state::Duration
 TimeoutOf(const TrafficState& aState,
           const Recovery& aRecovery,
@@ -101,7 +101,11 @@
 {
   const auto route =
     RouteOfFlow(aState.mIndex, aRecovery.mService, state::Hash(aKey));
-  const bool cut = route.empty() || route.front().mRank > 0;
+  const bool cut =
+    route.empty() || std::ranges::any_of(route.front().mShard->mUpstreams,
+                                         [](const state::TableEntry& aEntry) {
+                                           return !aEntry.mReachable;
+                                         });
   return cut ? state::Duration{ kCutOffTimeout }
              : state::Duration{ kRecoveryTimeout };
 }
--- a/src/sassafrasknot/coordination/shard.cpp
+++ b/src/sassafrasknot/coordination/shard.cpp
@@ -14,6 +14,9 @@
   if (aRecord.mState == state::UpstreamState::Leaving) {
     return "leaving";
   }
+  if (!aRecord.mReachable) {
+    return "unreachable";
+  }
   if (!Admits(aRecord.mHealth)) {
     return aRecord.mHealth.mPhase == HealthPhase::Ejected ? "ejected"
                                                           : "on trial";
@@ -35,6 +38,7 @@
     record.mConnections = entry.mConnections;
     record.mListed = true;
     record.mState = entry.mState;
+    record.mReachable = entry.mReachable;
     shard.mRecords.push_back(record);
     UpstreamAccount account;
     account.mAddress = entry.mAddress;
--- a/src/sassafrasknot/coordination/shard_state.hpp
+++ b/src/sassafrasknot/coordination/shard_state.hpp
@@ -19,6 +19,7 @@
   std::uint32_t mConnections = 0;
   /// False for an upstream that left the table and still has open flows.
   bool mListed = false;
+  bool mReachable = true;
   state::UpstreamState mState = state::UpstreamState::Live;
   UpstreamHealth mHealth;
   /// Start of its slow start, if that has not ended.
--- a/src/sassafrasknot/coordination/shard_upstreams.cpp
+++ b/src/sassafrasknot/coordination/shard_upstreams.cpp
@@ -93,7 +93,8 @@
 bool
 IsLive(const UpstreamRecord& aRecord)
 {
-  return aRecord.mListed && aRecord.mState == state::UpstreamState::Live;
+  return aRecord.mListed && aRecord.mReachable &&
+         aRecord.mState == state::UpstreamState::Live;
 }
 
 void
--- a/src/sassafrasknot/coordination/snapshot_index.cpp
+++ b/src/sassafrasknot/coordination/snapshot_index.cpp
@@ -29,6 +29,7 @@
       place->second.mOwners =
         shard.mOwners.empty() ? state::RankOwners(aIndex.mSnapshot->mInstances,
                                                   shard,
+                                                  aIndex.mSnapshot->mReachable,
                                                   kOwnersPerShard)
                               : shard.mOwners;
     }
--- a/src/sassafrasknot/state/snapshot.cpp
+++ b/src/sassafrasknot/state/snapshot.cpp
@@ -22,7 +22,7 @@
 {
   const auto organisation = HashBytes(aId.mService.mOrganisation.mValue);
   const auto service = HashBytes(aId.mService.mName, organisation);
-  return CombineHashes(HashBytes(aId.mDataCentre.mValue, service), aId.mIndex);
+  return CombineHashes(service, aId.mIndex);
 }
 
 template<typename Index, typename Score>
@@ -55,6 +55,15 @@
   return indices;
 }
 
+void
+AddSorted(std::vector<DataCentreId>& aSorted, const DataCentreId& aValue)
+{
+  const auto place = std::ranges::lower_bound(aSorted, aValue);
+  if (place == aSorted.end() || *place != aValue) {
+    aSorted.insert(place, aValue);
+  }
+}
+
 double
 SlotsOfShard(const ShardTable& aShard)
 {
@@ -76,9 +85,7 @@
   std::map<ShardId, ShardTable> shards;
   for (const auto& upstream : aService.mUpstreams) {
     const auto hash = HashAddress(upstream.mAddress);
-    const ShardId id{ aId,
-                      upstream.mDataCentre,
-                      static_cast<std::uint32_t>(hash % count) };
+    const ShardId id{ aId, static_cast<std::uint32_t>(hash % count) };
     auto& shard = shards[id];
     shard.mId = id;
     shard.mHash = HashShard(id);
@@ -86,7 +93,10 @@
                                  upstream.mSlots,
                                  upstream.mConnections,
                                  upstream.mState,
-                                 hash });
+                                 hash,
+                                 upstream.mDataCentre,
+                                 true });
+    AddSorted(shard.mDataCentres, upstream.mDataCentre);
   }
   ServiceTable table{ aRevision, {} };
   for (auto& [id, shard] : shards) {
@@ -96,10 +106,21 @@
 }
 
 void
-AssignOwners(ServiceTable& aTable, const std::vector<InstanceView>& aInstances)
+AssignOwners(ServiceTable& aTable,
+             const std::vector<InstanceView>& aInstances,
+             const std::set<DataCentreId>& aReachable)
 {
   for (auto& shard : aTable.mShards) {
-    shard.mOwners = RankOwners(aInstances, shard, kOwnersPerShard);
+    MarkReachable(shard, aReachable);
+    shard.mOwners = RankOwners(aInstances, shard, aReachable, kOwnersPerShard);
+  }
+}
+
+void
+MarkReachable(ShardTable& aShard, const std::set<DataCentreId>& aReachable)
+{
+  for (auto& upstream : aShard.mUpstreams) {
+    upstream.mReachable = aReachable.contains(upstream.mDataCentre);
   }
 }
 
@@ -135,13 +156,15 @@
 std::vector<std::uint32_t>
 RankOwners(const std::vector<InstanceView>& aInstances,
            const ShardTable& aShard,
+           const std::set<DataCentreId>& aReachable,
            std::size_t aCount)
 {
   std::vector<std::uint32_t> live;
   for (std::uint32_t index = 0; index < aInstances.size(); ++index) {
     const auto& instance = aInstances[index];
     if (instance.mState == InstanceState::Live &&
-        instance.mDataCentre == aShard.mId.mDataCentre) {
+        aReachable.contains(instance.mDataCentre) &&
+        std::ranges::binary_search(aShard.mDataCentres, instance.mDataCentre)) {
       live.push_back(index);
     }
   }
--- a/src/sassafrasknot/state/snapshot_builder.cpp
+++ b/src/sassafrasknot/state/snapshot_builder.cpp
@@ -1,72 +1,89 @@
 #include "sassafrasknot/state/snapshot_builder.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sassafrasknot::state {
 namespace {
 
-const std::vector<std::uint32_t>&
-OwnersOf(OwnerCache& aCache,
-         const std::vector<InstanceView>& aLive,
-         const ShardTable& aShard)
-{
-  auto [at, inserted] = aCache.mOwners.try_emplace(aShard.mHash);
-  if (inserted) {
-    ServiceTable table{ 0, { aShard } };
-    AssignOwners(table, aLive);
-    at->second = table.mShards.front().mOwners;
-  }
-  return at->second;
-}
+/// Owner, backup and the instance that follows them.
+constexpr std::size_t kOwnersPerShard = 3;
 
+/// Live instances of some data centres.
 struct LiveInstances
 {
   std::vector<InstanceView> mViews;
   std::vector<std::uint32_t> mIndices;
 };
 
-std::map<DataCentreId, LiveInstances>
-GroupLive(const std::vector<InstanceView>& aInstances)
+LiveInstances
+LiveIn(const std::vector<InstanceView>& aInstances,
+       const std::vector<DataCentreId>& aDataCentres)
 {
-  std::map<DataCentreId, LiveInstances> groups;
+  LiveInstances live;
   for (std::uint32_t index = 0; index < aInstances.size(); ++index) {
-    if (aInstances[index].mState == InstanceState::Live) {
-      auto& group = groups[aInstances[index].mDataCentre];
-      group.mViews.push_back(aInstances[index]);
-      group.mIndices.push_back(index);
+    const auto& instance = aInstances[index];
+    if (instance.mState == InstanceState::Live &&
+        std::ranges::binary_search(aDataCentres, instance.mDataCentre)) {
+      live.mViews.push_back(instance);
+      live.mIndices.push_back(index);
     }
   }
-  return groups;
+  return live;
+}
+
+std::vector<DataCentreId>
+ReachableOf(const ShardTable& aShard, const std::set<DataCentreId>& aReachable)
+{
+  std::vector<DataCentreId> reachable;
+  std::ranges::copy_if(
+    aShard.mDataCentres,
+    std::back_inserter(reachable),
+    [&](const auto& aDataCentre) { return aReachable.contains(aDataCentre); });
+  return reachable;
+}
+
+/// Empties a cache whose live instances have changed.
+void
+Refresh(OwnerCache& aCache, const LiveInstances& aLive)
+{
+  std::vector<InstanceId> live;
+  live.reserve(aLive.mViews.size());
+  for (const auto& view : aLive.mViews) {
+    live.push_back(view.mId);
+  }
+  if (live != aCache.mLive) {
+    aCache = { std::move(live), {} };
+  }
 }
 
-/// Ranks owners again only in data centres whose live instances changed: a
+/// Ranks owners again only for data centres whose live instances changed: a
 /// full ranking of 590 instances takes too long for each membership change.
 void
 SetOwners(SnapshotBuilder& aBuilder, Snapshot& aSnapshot)
 {
-  const auto groups = GroupLive(aSnapshot.mInstances);
-  for (const auto& [dataCentre, group] : groups) {
-    auto& cache = aBuilder.mOwners[dataCentre];
-    std::vector<InstanceId> live;
-    live.reserve(group.mViews.size());
-    for (const auto& view : group.mViews) {
-      live.push_back(view.mId);
-    }
-    if (live != cache.mLive) {
-      cache = { std::move(live), {} };
-    }
-  }
+  std::map<std::vector<DataCentreId>, LiveInstances> groups;
   for (auto& service : aSnapshot.mServices) {
     for (auto& table : service.mTables) {
       for (auto& shard : table.mShards) {
-        const auto group = groups.find(shard.mId.mDataCentre);
-        shard.mOwners.clear();
-        if (group == groups.end()) {
-          continue;
+        MarkReachable(shard, aSnapshot.mReachable);
+        const auto key = ReachableOf(shard, aSnapshot.mReachable);
+        auto& cache = aBuilder.mOwners[key];
+        const auto [group, isNew] = groups.try_emplace(key);
+        auto& live = group->second;
+        if (isNew) {
+          live = LiveIn(aSnapshot.mInstances, key);
+          Refresh(cache, live);
         }
-        for (const auto owner : OwnersOf(
-               aBuilder.mOwners[group->first], group->second.mViews, shard)) {
-          shard.mOwners.push_back(group->second.mIndices[owner]);
+        const auto [owners, isMissing] = cache.mOwners.try_emplace(shard.mHash);
+        if (isMissing) {
+          owners->second = RankOwners(
+            live.mViews, shard, aSnapshot.mReachable, kOwnersPerShard);
+        }
+        shard.mOwners.clear();
+        for (const auto owner : owners->second) {
+          shard.mOwners.push_back(live.mIndices[owner]);
         }
       }
     }
--- a/src/sassafrasknot/state/snapshot_builder_test.cpp
+++ b/src/sassafrasknot/state/snapshot_builder_test.cpp
@@ -144,13 +144,14 @@
     view.mHash = index;
     instances.push_back(view);
   }
+  const std::set<DataCentreId> reachable{ { "dc-0" }, { "dc-1" } };
   for (const std::size_t dead : { 8, 4, 2 }) {
     instances.at(dead).mState = InstanceState::Dead;
     const auto snapshot = BuildSnapshot(
-      mBuilder, { { "i0" }, { "dc-0" }, mRevision, instances, {} });
+      mBuilder, { { "i0" }, { "dc-0" }, mRevision, instances, reachable });
     auto table = snapshot->mServices.at(0).mTables.at(0);
     const auto owners = table.mShards.at(0).mOwners;
-    AssignOwners(table, instances);
+    AssignOwners(table, instances, reachable);
     EXPECT_EQ(owners, table.mShards.at(0).mOwners);
   }
 }
--- a/src/sassafrasknot/state/snapshot_test.cpp
+++ b/src/sassafrasknot/state/snapshot_test.cpp
@@ -40,9 +40,9 @@
   auto instances = MakeInstances(9);
   auto shard = MakeShard(1);
   shard.mHash = aHash;
-  const auto before = RankOwners(instances, shard, 2);
+  const auto before = RankOwners(instances, shard, { { "dc" } }, 2);
   instances[before[0]].mState = InstanceState::Dead;
-  RC_ASSERT(RankOwners(instances, shard, 1).at(0) == before[1]);
+  RC_ASSERT(RankOwners(instances, shard, { { "dc" } }, 1).at(0) == before[1]);
 }
 
 // Guards against flows that change their default upstream although their own
--- a/src/sassafrasknot/transport/dump.cpp
+++ b/src/sassafrasknot/transport/dump.cpp
@@ -15,7 +15,6 @@
 {
   return { { "organisation", aId.mService.mOrganisation.mValue },
            { "service", aId.mService.mName },
-           { "data_centre", aId.mDataCentre.mValue },
            { "index", aId.mIndex } };
 }
 
--- a/testing/randomised/world.cpp
+++ b/testing/randomised/world.cpp
@@ -573,7 +573,8 @@
       IgnoreLeaving(view.mTables);
     }
     for (auto& table : view.mTables) {
-      state::AssignOwners(table, snapshot->mInstances);
+      state::AssignOwners(
+        table, snapshot->mInstances, snapshot->mReachable);
     }
     snapshot->mServices.push_back(std::move(view));
     BindUpstreams(*snapshot, static_cast<std::uint32_t>(index));
