Resolve the linter's findings on the daemon's files

Messages are passed by reference where they were copied, and the name of a static constant follows the check.

--- a/include/sassafrasknot/transport/control_client.hpp
+++ b/include/sassafrasknot/transport/control_client.hpp
@@ -12,6 +12,10 @@
 
 namespace sassafrasknot::transport {
 
+/// @brief Takes the answer to a call.
+template<typename Answer>
+using OnAnswer = std::function<void(state::Result<Answer>)>;
+
 /// @brief Calls the gRPC services of other instances. Safe for use from
 /// several threads; answers arrive on gRPC's threads.
 class ControlClient
@@ -26,10 +30,9 @@
   /// @param aMessage the pull
   /// @param aDone is called once with the answer; Unavailable, Malformed or
   /// DeadlineExceeded (5 s)
-  void Exchange(
-    const state::Endpoint& aTo,
-    const coordination::ControlMessage& aMessage,
-    std::function<void(state::Result<coordination::ControlMessage>)> aDone);
+  void Exchange(const state::Endpoint& aTo,
+                const coordination::ControlMessage& aMessage,
+                const OnAnswer<coordination::ControlMessage>& aDone);
 
   /// @brief Sends a batch of a hand-over.
   /// @param aTo control endpoint of the receiver
@@ -37,12 +40,10 @@
   /// @param aBatch the batch
   /// @param aDone is called once with the answer; Unavailable or
   /// DeadlineExceeded (2 s)
-  void TakeOver(
-    const state::Endpoint& aTo,
-    const state::InstanceId& aSelf,
-    coordination::HandoverBatch aBatch,
-    std::function<void(state::Result<coordination::HandoverAcknowledgement>)>
-      aDone);
+  void TakeOver(const state::Endpoint& aTo,
+                const state::InstanceId& aSelf,
+                coordination::HandoverBatch aBatch,
+                const OnAnswer<coordination::HandoverAcknowledgement>& aDone);
 
 private:
   struct Impl;
--- a/src/sassafrasknot/protocol/peer_message_test.cpp
+++ b/src/sassafrasknot/protocol/peer_message_test.cpp
@@ -20,9 +20,9 @@
 ListOf(const Make& aMake)
 {
   std::vector<decltype(aMake())> list;
-  const int count = *rc::gen::inRange(0, 6);
-  for (int index = 0; index < count; ++index) {
-    list.push_back(aMake());
+  list.resize(*rc::gen::inRange<std::size_t>(0, 6));
+  for (auto& element : list) {
+    element = aMake();
   }
   return list;
 }
--- a/src/sassafrasknot/protocol/settings_value.cpp
+++ b/src/sassafrasknot/protocol/settings_value.cpp
@@ -220,7 +220,7 @@
 std::span<const SettingsRule>
 SettingsRules()
 {
-  static const std::vector<SettingsRule> sRules{
+  static const std::vector<SettingsRule> kRules{
     NameRule("instance", "name", &Settings::mInstance),
     NameRule("instance", "data_centre", &Settings::mDataCentre),
     EndpointRule("listen", "packets", &Settings::mPeerEndpoint),
@@ -269,7 +269,7 @@
                { 1, 1000 },
                &Settings::mLogLinesPerSecond),
   };
-  return sRules;
+  return kRules;
 }
 
 std::optional<state::Endpoint>
--- a/src/sassafrasknot/transport/control_actions.cpp
+++ b/src/sassafrasknot/transport/control_actions.cpp
@@ -55,7 +55,7 @@
 };
 
 void
-ControlThread::Execute(coordination::ControlActions aActions)
+ControlThread::Execute(const coordination::ControlActions& aActions)
 {
   for (const auto& action : aActions) {
     std::visit(ControlExecutor{ *this }, action);
--- a/src/sassafrasknot/transport/control_client.cpp
+++ b/src/sassafrasknot/transport/control_client.cpp
@@ -98,10 +98,9 @@
 }
 
 void
-ControlClient::Exchange(
-  const state::Endpoint& aTo,
-  const coordination::ControlMessage& aMessage,
-  std::function<void(state::Result<coordination::ControlMessage>)> aDone)
+ControlClient::Exchange(const state::Endpoint& aTo,
+                        const coordination::ControlMessage& aMessage,
+                        const OnAnswer<coordination::ControlMessage>& aDone)
 {
   using SyncCall = Call<peer::ControlMessage, peer::ControlMessage>;
   auto call = std::make_shared<SyncCall>();
@@ -136,8 +135,8 @@
   const state::Endpoint& aTo,
   const state::InstanceId& aSelf,
   coordination::HandoverBatch aBatch,
-  std::function<void(state::Result<coordination::HandoverAcknowledgement>)>
-    aDone)
+  const std::function<
+    void(state::Result<coordination::HandoverAcknowledgement>)>& aDone)
 {
   using BatchCall = Call<peer::TrafficEnvelope, peer::HandoverAcknowledgement>;
   auto call = std::make_shared<BatchCall>();
--- a/src/sassafrasknot/transport/control_thread.cpp
+++ b/src/sassafrasknot/transport/control_thread.cpp
@@ -189,7 +189,7 @@
     aReply(std::move(sent->mMessage));
     return true;
   });
-  Execute(std::move(actions));
+  Execute(actions);
 }
 
 void
@@ -339,13 +339,14 @@
     };
   handlers.mOnDump = [this, onControlThread](auto aReply) {
     onControlThread([this, reply = std::move(aReply)] {
-      Collect([reply](DumpParts aParts) { reply(ComposeDump(aParts)); });
+      Collect([reply](const DumpParts& aParts) { reply(ComposeDump(aParts)); });
     });
   };
   handlers.mOnCounters = [this, onControlThread](auto aReply) {
     onControlThread([this, reply = std::move(aReply)] {
-      Collect(
-        [reply](DumpParts aParts) { reply(PrometheusText(aParts.mCounters)); });
+      Collect([reply](const DumpParts& aParts) {
+        reply(PrometheusText(aParts.mCounters));
+      });
     });
   };
   handlers.mOnDrain = [this] { RequestStop(); };
--- a/src/sassafrasknot/transport/control_thread.hpp
+++ b/src/sassafrasknot/transport/control_thread.hpp
@@ -44,7 +44,7 @@
   void WaitForSignal();
   void BeginStop();
   void CheckStop(state::TimePoint aNow);
-  void Execute(coordination::ControlActions aActions);
+  void Execute(const coordination::ControlActions& aActions);
   void OnMessage(const coordination::ControlMessage& aMessage);
   void OnExchange(const coordination::ControlMessage& aMessage,
                   const Reply<coordination::ControlMessage>& aReply);
--- a/src/sassafrasknot/transport/dump.cpp
+++ b/src/sassafrasknot/transport/dump.cpp
@@ -161,9 +161,9 @@
   std::string text;
   for (const auto& [name, value] : aCounters.mValues) {
     const auto full = "sassafrasknot_" + name;
-    text += "# TYPE " + full +
-            (name.ends_with("_total") ? " counter\n" : " gauge\n") + full +
-            ' ' + std::to_string(value) + '\n';
+    text += "# TYPE " + full;
+    text += name.ends_with("_total") ? " counter\n" : " gauge\n";
+    text += full + ' ' + std::to_string(value) + '\n';
   }
   return text;
 }
