Give each organisation its share of an instance's flows

Change: a new flow is admitted within its organisation's share of the flow table and, while the core is overloaded, of new flows; placement has a file of its own, and the fakes' network too. Before: one organisation could fill the flow table.

--- a/src/sassafrasknot/coordination/answer_packets.cpp
+++ b/src/sassafrasknot/coordination/answer_packets.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/coordination/answer_packets.hpp"
 
 #include "sassafrasknot/coordination/flow_lifecycle.hpp"
+#include "sassafrasknot/coordination/flow_placement.hpp"
 #include "sassafrasknot/coordination/recovery.hpp"
 
 #include <algorithm>
--- a/src/sassafrasknot/coordination/caller_packets.cpp
+++ b/src/sassafrasknot/coordination/caller_packets.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/coordination/flow_checks.hpp"
 #include "sassafrasknot/coordination/flow_lifecycle.hpp"
+#include "sassafrasknot/coordination/flow_placement.hpp"
 #include "sassafrasknot/coordination/recovery.hpp"
 
 #include <algorithm>
--- a/src/sassafrasknot/coordination/flow_entry.hpp
+++ b/src/sassafrasknot/coordination/flow_entry.hpp
@@ -46,6 +46,8 @@
   bool mAccounted = false;
   /// False for a flow known from a record only, until its upstream answers.
   bool mVerified = true;
+  /// Whether the flow counts in its organisation's share.
+  bool mInShare = false;
   bool mPayloadForwarded = false;
   bool mAnswered = false;
   bool mCallerFinished = false;
--- a/src/sassafrasknot/coordination/flow_lifecycle.hpp
+++ b/src/sassafrasknot/coordination/flow_lifecycle.hpp
@@ -9,27 +9,16 @@
 state::Verdict
 VerdictOf(const FlowEntry& aEntry);
 
-/// Sends the opening packet at hand to an upstream, to the owner of one of the
-/// flow's shards, or refuses it.
-void
-OpenFlow(TrafficState& aState,
-         state::TimePoint aNow,
-         const PacketEvent& aPacket,
-         std::uint32_t aService);
-
-/// Carries out the decision on a flow that was queued.
-void
-ApplyQueueDecision(TrafficState& aState,
-                   state::TimePoint aNow,
-                   const PlacementDecision& aDecision);
+/// Whether the table alone does not give the flow's upstream.
+bool
+IsException(const TrafficState& aState,
+            std::uint32_t aService,
+            const state::FlowKey& aKey,
+            const state::Endpoint& aUpstream);
 
-/// Places a flow again whose upstream did not accept it, or refuses it.
-/// Nothing but the opening segment may have been forwarded.
+/// Gives back the slot, the connection and the share that a flow holds.
 void
-PlaceAgain(TrafficState& aState,
-           state::TimePoint aNow,
-           const state::FlowKey& aKey,
-           FailureKind aFailure);
+FreeAccount(TrafficState& aState, state::TimePoint aNow, FlowEntry& aEntry);
 
 /// Accounts an established flow whose upstream was learned.
 FlowEntry&
--- /dev/null
+++ b/src/sassafrasknot/coordination/flow_shares.cpp
@@ -0,0 +1,72 @@
+#include "sassafrasknot/coordination/flow_shares.hpp"
+
+namespace sassafrasknot::coordination {
+namespace {
+
+/// Flows of one traffic core: 500,000 entries of about 250 bytes stay within
+/// half of the 256 MB of a node.
+constexpr std::uint64_t kMostFlows = 500000;
+/// New flows a second of one traffic core. A placement takes about 1 us, so
+/// this leaves most of the core to packets.
+constexpr double kMostNewFlows = 20000;
+constexpr double kNewFlowBurst = 5000;
+
+/// Returns the organisation of the shard that accounts the flow, or null.
+const state::OrganisationId*
+OrganisationOf(TrafficState& aState, const FlowEntry& aEntry)
+{
+  const auto found = aState.mShards.find(aEntry.mShard);
+  return found == aState.mShards.end() ? nullptr : &found->second.mOrganisation;
+}
+
+} // namespace
+
+OrganisationShares
+MakeShares(state::TimePoint aNow)
+{
+  return MakeOrganisationShares(kMostFlows, kMostNewFlows, aNow);
+}
+
+void
+UpdateShares(TrafficState& aState, state::TimePoint aNow)
+{
+  aState.mNewFlows.mRate = kMostNewFlows;
+  aState.mNewFlows.mBurst = kNewFlowBurst;
+  for (const auto& service : aState.mIndex.mSnapshot->mServices) {
+    SetWeight(aState.mShares,
+              service.mId.mOrganisation,
+              service.mOrganisationWeight,
+              aNow);
+  }
+}
+
+bool
+AdmitToShare(TrafficState& aState,
+             state::TimePoint aNow,
+             const state::OrganisationId& aOrganisation)
+{
+  const bool overloaded = !TakeTokens(aState.mNewFlows, 1, aNow);
+  return AdmitFlow(aState.mShares, aOrganisation, overloaded, aNow);
+}
+
+void
+JoinShare(TrafficState& aState, FlowEntry& aEntry)
+{
+  if (const auto* const organisation = OrganisationOf(aState, aEntry);
+      organisation != nullptr && !aEntry.mInShare) {
+    aEntry.mInShare = true;
+    AddOpenFlow(aState.mShares, *organisation);
+  }
+}
+
+void
+LeaveShare(TrafficState& aState, FlowEntry& aEntry)
+{
+  if (const auto* const organisation = OrganisationOf(aState, aEntry);
+      organisation != nullptr && aEntry.mInShare) {
+    aEntry.mInShare = false;
+    RemoveOpenFlow(aState.mShares, *organisation);
+  }
+}
+
+} // namespace sassafrasknot::coordination
--- a/src/sassafrasknot/coordination/snapshot_change.cpp
+++ b/src/sassafrasknot/coordination/snapshot_change.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/coordination/snapshot_change.hpp"
 
 #include "sassafrasknot/coordination/flow_lifecycle.hpp"
+#include "sassafrasknot/coordination/flow_shares.hpp"
 #include "sassafrasknot/coordination/handover.hpp"
 #include "sassafrasknot/coordination/invariant.hpp"
 #include "sassafrasknot/coordination/recovery.hpp"
@@ -163,6 +164,7 @@
     std::exchange(aState.mIndex, MakeSnapshotIndex(std::move(aSnapshot)));
   ForgetMovedQueued(aState, aNow, before);
   UpdateAccounts(aState, aNow);
+  UpdateShares(aState, aNow);
   CompareOwners(aState, aNow, before);
   AdoptBackups(aState, aNow);
   UpdateHandovers(aState, aNow);
--- a/src/sassafrasknot/coordination/traffic_core.cpp
+++ b/src/sassafrasknot/coordination/traffic_core.cpp
@@ -5,6 +5,8 @@
 #include "sassafrasknot/coordination/caller_packets.hpp"
 #include "sassafrasknot/coordination/flow_checks.hpp"
 #include "sassafrasknot/coordination/flow_lifecycle.hpp"
+#include "sassafrasknot/coordination/flow_placement.hpp"
+#include "sassafrasknot/coordination/flow_shares.hpp"
 #include "sassafrasknot/coordination/handover.hpp"
 #include "sassafrasknot/coordination/peer_messages.hpp"
 #include "sassafrasknot/coordination/recovery.hpp"
@@ -104,6 +106,10 @@
     const bool known = place != aState.mIndex.mShards.end();
     owned.mService = known ? place->second.mService : 0;
     owned.mLearnUntil = aNow + kLearnTime;
+    if (known) {
+      owned.mOrganisation =
+        aState.mIndex.mSnapshot->mServices[owned.mService].mId.mOrganisation;
+    }
     const auto limits =
       known
         ? aState.mIndex.mSnapshot->mServices[owned.mService].mService.mLimits
@@ -143,6 +149,8 @@
   state.mIndex = MakeSnapshotIndex(std::move(aSnapshot));
   state.mCopies = MakeCopyQueue({});
   state.mReporter = MakeAnswerReporter({});
+  state.mShares = MakeShares({});
+  UpdateShares(state, {});
   // Batches of an earlier process of this instance must not be taken for
   // those of this one.
   state.mNextBatch = aSeed | 1;
@@ -196,6 +204,7 @@
   NoteCall(state, aNow);
   CheckFlows(state, aNow);
   CheckRecoveries(state, aNow);
+  DivideShares(state.mShares, aNow);
   ContinueHandovers(state, aNow);
   if (aNow >= state.mNextFlush) {
     state.mNextFlush = aNow + kFlushInterval;
--- a/src/sassafrasknot/coordination/traffic_state.hpp
+++ b/src/sassafrasknot/coordination/traffic_state.hpp
@@ -5,6 +5,7 @@
 #include "sassafrasknot/coordination/copy_queue.hpp"
 #include "sassafrasknot/coordination/flow_entry.hpp"
 #include "sassafrasknot/coordination/flow_route.hpp"
+#include "sassafrasknot/coordination/organisation_share.hpp"
 #include "sassafrasknot/coordination/shard.hpp"
 #include "sassafrasknot/coordination/snapshot_index.hpp"
 #include "sassafrasknot/coordination/traffic_core.hpp"
@@ -52,6 +53,7 @@
 {
   ShardPointer mShard;
   std::uint32_t mService = 0;
+  state::OrganisationId mOrganisation;
   std::size_t mFlows = 0;
   /// Instances that owned the shard before, asked for unknown flows.
   std::set<state::InstanceId> mPrevious;
@@ -90,6 +92,9 @@
     mDeadlines;
   CopyQueue mCopies;
   AnswerReporter mReporter;
+  OrganisationShares mShares;
+  /// New flows a second that this core takes before it is overloaded.
+  TokenBucket mNewFlows;
   state::Counters mCounters;
   TrafficActions mActions;
   std::uint64_t mNextToken = 1;
--- a/testing/randomised/randomised.cmake
+++ b/testing/randomised/randomised.cmake
@@ -2,6 +2,7 @@
 add_library(sassafrasknot_randomised STATIC
   ${CMAKE_CURRENT_LIST_DIR}/caller.cpp
   ${CMAKE_CURRENT_LIST_DIR}/faults.cpp
+  ${CMAKE_CURRENT_LIST_DIR}/network.cpp
   ${CMAKE_CURRENT_LIST_DIR}/upstream.cpp
   ${CMAKE_CURRENT_LIST_DIR}/world.cpp)
 target_include_directories(sassafrasknot_randomised PUBLIC ${CMAKE_CURRENT_LIST_DIR})
@@ -17,6 +18,7 @@
   ${CMAKE_CURRENT_LIST_DIR}/../baseline/traffic_core.cpp
   ${CMAKE_CURRENT_LIST_DIR}/caller.cpp
   ${CMAKE_CURRENT_LIST_DIR}/faults.cpp
+  ${CMAKE_CURRENT_LIST_DIR}/network.cpp
   ${CMAKE_CURRENT_LIST_DIR}/upstream.cpp
   ${CMAKE_CURRENT_LIST_DIR}/world.cpp)
 target_include_directories(measure-flows-baseline PRIVATE ${CMAKE_CURRENT_LIST_DIR})
