--- a/apps/sassafrasknotctl/fleet_view.cpp
+++ b/apps/sassafrasknotctl/fleet_view.cpp
@@ -77,8 +77,7 @@
 ShardName(const json::value& aShard)
 {
   std::string name;
-  for (const auto* part :
-       { "organisation", "service", "index" }) {
+  for (const auto* part : { "organisation", "service", "index" }) {
     if (const auto text = Text(Find(aShard, part)); !text.empty()) {
       name += (name.empty() ? "" : " ") + text;
     }
--- a/testing/randomised/caller.cpp
+++ b/testing/randomised/caller.cpp
@@ -254,7 +254,7 @@
 }
 
 void
-DeliverToCaller(World& aWorld, Packet aPacket)
+DeliverToCaller(World& aWorld, const Packet& aPacket)
 {
   const auto found = aWorld.mFlowOfKey.find(aPacket.mFlow.mKey);
   if (found == aWorld.mFlowOfKey.end()) {
--- a/testing/randomised/flows_main.cpp
+++ b/testing/randomised/flows_main.cpp
@@ -30,8 +30,8 @@
 constexpr Deployment kDeployments[] = {
   { "kandyan-chime", 4, 9, 15, 50 },
   { "krampon", 3, 9, 15, 50 },
-  { "kandyan-chime-x10", 4, 9, 150, 200 },
-  { "krampon-x10", 3, 9, 150, 200 },
+  { "kandyan-chime-x10", 4, 9, 150, 100 },
+  { "krampon-x10", 3, 9, 150, 100 },
 };
 
 /// Faults injected one after the other.
--- a/testing/randomised/upstream.cpp
+++ b/testing/randomised/upstream.cpp
@@ -245,7 +245,9 @@
 } // namespace
 
 void
-DeliverToUpstream(World& aWorld, const Endpoint& aUpstream, Packet aPacket)
+DeliverToUpstream(World& aWorld,
+                  const Endpoint& aUpstream,
+                  const Packet& aPacket)
 {
   const auto target = aWorld.mUpstreams.find(aUpstream);
   if (target == aWorld.mUpstreams.end() || !target->second.mAlive) {
--- a/testing/randomised/world.hpp
+++ b/testing/randomised/world.hpp
@@ -127,9 +127,11 @@
 
 /// Hands a packet to an upstream or to a caller.
 void
-DeliverToUpstream(World& aWorld, const Endpoint& aUpstream, Packet aPacket);
+DeliverToUpstream(World& aWorld,
+                  const Endpoint& aUpstream,
+                  const Packet& aPacket);
 void
-DeliverToCaller(World& aWorld, Packet aPacket);
+DeliverToCaller(World& aWorld, const Packet& aPacket);
 
 /// Opens a flow of a random kind and organisation.
 void
