Keep constants and the check of hops in one place each

Cause: the read-through found the number of owners per shard in three files, the size and rate of reports in two, and the check of a packet's hops in five places. Change: one public constant, one private pair and one function.

--- a/include/sassafrasknot/state/snapshot.hpp
+++ b/include/sassafrasknot/state/snapshot.hpp
@@ -14,6 +14,10 @@
 
 namespace sassafrasknot::state {
 
+/// @brief Instances that ShardTable::mOwners holds at most: the owner, the
+/// backup and the one that follows them.
+constexpr std::size_t kOwnersPerShard = 3;
+
 /// @brief An upstream endpoint within a shard's table.
 struct TableEntry
 {
--- a/src/sassafrasknot/coordination/answer_packets.cpp
+++ b/src/sassafrasknot/coordination/answer_packets.cpp
@@ -156,8 +156,7 @@
     OnUnknownControlAnswer(aState, aNow, event, aService, aShard);
     return;
   }
-  const bool visited =
-    std::ranges::find(aPacket.mHops, owner->mId) != aPacket.mHops.end();
+  const bool visited = HasForwarded(aPacket.mHops, owner->mId);
   if (visited || aPacket.mHops.size() >= kMaxHops) {
     DropPacket(aState, "packets_dropped_unknown_flow_total");
     return;
--- a/src/sassafrasknot/coordination/answer_reports.cpp
+++ b/src/sassafrasknot/coordination/answer_reports.cpp
@@ -7,11 +7,7 @@
 namespace sassafrasknot::coordination {
 namespace {
 
-/// Share of the 5 KB/s of a node that reports may take.
-constexpr double kReportBytesPerSecond = 1000;
 constexpr double kReportBurstBytes = 4000;
-/// An encoded report: flow, upstream and flags.
-constexpr double kReportBytes = 26;
 /// UDP, IP and message headers of one datagram.
 constexpr double kMessageBytes = 40;
 /// One bit per flow: two flows share a bit with probability 3% at 32,200
--- a/src/sassafrasknot/coordination/answer_reports.hpp
+++ b/src/sassafrasknot/coordination/answer_reports.hpp
@@ -14,6 +14,11 @@
 
 namespace sassafrasknot::coordination {
 
+/// Share of the 5 KB/s of a node that reports may take.
+constexpr double kReportBytesPerSecond = 1000;
+/// An encoded report: flow, upstream and flags.
+constexpr double kReportBytes = 26;
+
 struct PendingReport
 {
   std::uint64_t mShard = 0;
--- a/src/sassafrasknot/coordination/caller_packets.cpp
+++ b/src/sassafrasknot/coordination/caller_packets.cpp
@@ -175,8 +175,7 @@
                           aNow - aEntry.mStarted > kOpeningRepeats;
   const auto* const owner = OwnerOf(aState.mIndex, aEntry.mShard);
   const bool visited =
-    owner != nullptr &&
-    std::ranges::find(aPacket.mHops, owner->mId) != aPacket.mHops.end();
+    owner != nullptr && HasForwarded(aPacket.mHops, owner->mId);
   const bool neverLocated = aEntry.mUpstream == state::Endpoint{} &&
                             aNow - aEntry.mStarted > kOpeningRepeats;
   if (opensAgain || neverLocated || owner == nullptr || visited ||
@@ -215,8 +214,7 @@
     RecoverFlow(aState, aNow, aPacket, aService);
     return;
   }
-  const bool visited =
-    std::ranges::find(aPacket.mHops, first.mOwner->mId) != aPacket.mHops.end();
+  const bool visited = HasForwarded(aPacket.mHops, first.mOwner->mId);
   if (visited) {
     // The first owner took this instance for the flow's owner and may know its
     // upstream.
--- a/src/sassafrasknot/coordination/flow_checks.cpp
+++ b/src/sassafrasknot/coordination/flow_checks.cpp
@@ -15,9 +15,6 @@
 /// Work without traffic for this long after its answer holds no slot.
 constexpr auto kWorkIdle = std::chrono::seconds{ 5 };
 constexpr auto kHalfClosedTimeout = std::chrono::seconds{ 60 };
-/// Bytes of a report, and the bytes a second that reports may take.
-constexpr std::size_t kReportBytes = 26;
-constexpr std::size_t kReportBytesPerSecond = 1000;
 /// Bounds the time of one tick.
 constexpr std::size_t kChecksPerTick = 2000;
 
@@ -32,9 +29,12 @@
     found == aState.mIndex.mShards.end()
       ? state::ServiceLimits{}.mKeepalive
       : services[found->second.mService].mService.mLimits.mKeepalive;
-  const std::chrono::seconds budgeted{ aState.mFlows.size() * kReportBytes /
-                                       kReportBytesPerSecond };
-  return std::max<state::Duration>(configured, budgeted);
+  const std::chrono::duration<double> budgeted{
+    static_cast<double>(aState.mFlows.size()) * kReportBytes /
+    kReportBytesPerSecond
+  };
+  return std::max(configured,
+                  std::chrono::duration_cast<state::Duration>(budgeted));
 }
 
 /// Whether other flows of the upstream have progressed since aSince, with all
--- a/src/sassafrasknot/coordination/flow_route.cpp
+++ b/src/sassafrasknot/coordination/flow_route.cpp
@@ -9,13 +9,6 @@
 /// only when two data centres were cut off or full.
 constexpr std::size_t kCandidateShards = 2;
 
-bool
-Contains(const std::vector<state::InstanceId>& aHops,
-         const state::InstanceId& aInstance)
-{
-  return std::ranges::find(aHops, aInstance) != aHops.end();
-}
-
 void
 AddCandidate(std::vector<state::Endpoint>& aCandidates,
              const state::Endpoint& aUpstream)
@@ -52,13 +45,20 @@
   return route;
 }
 
+bool
+HasForwarded(const std::vector<state::InstanceId>& aHops,
+             const state::InstanceId& aInstance)
+{
+  return std::ranges::find(aHops, aInstance) != aHops.end();
+}
+
 const RouteStep*
 NextStep(const std::vector<RouteStep>& aRoute,
          const std::vector<state::InstanceId>& aHops,
          std::size_t aFrom)
 {
   for (std::size_t index = aFrom; index < aRoute.size(); ++index) {
-    if (!Contains(aHops, aRoute[index].mOwner->mId)) {
+    if (!HasForwarded(aHops, aRoute[index].mOwner->mId)) {
       return &aRoute[index];
     }
   }
--- a/src/sassafrasknot/coordination/flow_route.hpp
+++ b/src/sassafrasknot/coordination/flow_route.hpp
@@ -31,6 +31,11 @@
             std::uint32_t aService,
             std::uint64_t aFlowHash);
 
+/// Whether an instance is among those that have forwarded a packet.
+bool
+HasForwarded(const std::vector<state::InstanceId>& aHops,
+             const state::InstanceId& aInstance);
+
 /// Returns the first step whose owner has not forwarded the packet yet, or
 /// null. Steps before aFrom are passed over.
 const RouteStep*
--- a/src/sassafrasknot/coordination/recovery.cpp
+++ b/src/sassafrasknot/coordination/recovery.cpp
@@ -158,7 +158,7 @@
     Act(aState, SendToUpstream{ record.mUpstream });
     return true;
   }
-  if (std::ranges::find(aPacket.mHops, owner->mId) != aPacket.mHops.end() ||
+  if (HasForwarded(aPacket.mHops, owner->mId) ||
       aPacket.mHops.size() >= kMaxHops) {
     return false;
   }
--- a/src/sassafrasknot/coordination/snapshot_index.cpp
+++ b/src/sassafrasknot/coordination/snapshot_index.cpp
@@ -7,9 +7,6 @@
 namespace sassafrasknot::coordination {
 namespace {
 
-/// Owner, backup and the instance that follows them.
-constexpr std::size_t kOwnersPerShard = 3;
-
 std::uint64_t
 UpstreamKey(std::uint32_t aService, state::Ipv4Address aUpstream)
 {
@@ -30,7 +27,7 @@
         shard.mOwners.empty() ? state::RankOwners(aIndex.mSnapshot->mInstances,
                                                   shard,
                                                   aIndex.mSnapshot->mReachable,
-                                                  kOwnersPerShard)
+                                                  state::kOwnersPerShard)
                               : shard.mOwners;
     }
     for (const auto& upstream : shard.mUpstreams) {
--- a/src/sassafrasknot/state/snapshot.cpp
+++ b/src/sassafrasknot/state/snapshot.cpp
@@ -8,9 +8,6 @@
 namespace sassafrasknot::state {
 namespace {
 
-/// Owner, backup and the instance that follows them.
-constexpr std::size_t kOwnersPerShard = 3;
-
 std::uint64_t
 HashAddress(Ipv4Address aAddress)
 {
--- a/src/sassafrasknot/state/snapshot_builder.cpp
+++ b/src/sassafrasknot/state/snapshot_builder.cpp
@@ -7,9 +7,6 @@
 namespace sassafrasknot::state {
 namespace {
 
-/// Owner, backup and the instance that follows them.
-constexpr std::size_t kOwnersPerShard = 3;
-
 /// Live instances of some data centres.
 struct LiveInstances
 {
