Take seconds of the load plan as std::chrono durations

Cause: FromSeconds took a bare number for a time, against the house style. Change: it takes std::chrono::duration<double> and rounds to milliseconds.

--- a/apps/sassafrasknotctl/load_plan.cpp
+++ b/apps/sassafrasknotctl/load_plan.cpp
@@ -35,10 +35,12 @@
   return { aText.substr(0, position), aText.substr(position + 1) };
 }
 
+using Seconds = std::chrono::duration<double>;
+
 std::chrono::milliseconds
-FromSeconds(double aSeconds)
+FromSeconds(Seconds aSeconds)
 {
-  return std::chrono::milliseconds(std::llround(aSeconds * 1000));
+  return std::chrono::round<std::chrono::milliseconds>(aSeconds);
 }
 
 // Values that popt writes.
@@ -115,11 +117,11 @@
   }
   plan.mSeed = static_cast<std::uint64_t>(aValues.mSeed);
   plan.mUploadBytes = static_cast<std::uint64_t>(aValues.mUploadBytes);
-  plan.mLength = FromSeconds(aValues.mSeconds);
-  plan.mFinish = FromSeconds(aValues.mFinish);
-  plan.mFeedLength = FromSeconds(aValues.mFeedSeconds);
-  plan.mPeriod = FromSeconds(aValues.mPeriod);
-  plan.mPatience = FromSeconds(aValues.mPatience);
+  plan.mLength = FromSeconds(Seconds(aValues.mSeconds));
+  plan.mFinish = FromSeconds(Seconds(aValues.mFinish));
+  plan.mFeedLength = FromSeconds(Seconds(aValues.mFeedSeconds));
+  plan.mPeriod = FromSeconds(Seconds(aValues.mPeriod));
+  plan.mPatience = FromSeconds(Seconds(aValues.mPatience));
   plan.mStragglerShare = aValues.mStragglerShare;
   plan.mStragglerFactor = aValues.mStragglerFactor;
   plan.mJson = aValues.mJson != 0;
@@ -268,7 +270,9 @@
       "crest \"" + std::string(aText) +
       "\" is not START:LENGTH:FACTOR with a factor of 1 or more");
   }
-  return Crest{ FromSeconds(*first), FromSeconds(*seconds), *times };
+  return Crest{ FromSeconds(Seconds(*first)),
+                FromSeconds(Seconds(*seconds)),
+                *times };
 }
 
 state::Result<LoadPlan>
