--- /dev/null
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -0,0 +1,154 @@
+#ifndef SASSAFRASKNOT_FLEET_FLEET_CORE_HPP
+#define SASSAFRASKNOT_FLEET_FLEET_CORE_HPP
+
+#include "sassafrasknot/fleet/fleet_message.hpp"
+#include "sassafrasknot/fleet/store_reader.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sassafrasknot::fleet {
+
+/// @brief Periods and sizes of the messages between instances.
+struct FleetPolicy
+{
+  /// Messages with loads within a data centre.
+  std::chrono::milliseconds mLocalPeriod{ 250 };
+  /// Messages to other data centres and with member lists.
+  std::chrono::milliseconds mRemotePeriod{ 1000 };
+  /// Local peers that get one message each period; more would make the cost of
+  /// an instance grow with its data centre.
+  std::size_t mLocalFanOut = 4;
+  /// Members told in one message.
+  std::size_t mMembersTold = 24;
+  /// Changes that are sent along, in bytes of their values; longer ones are
+  /// pulled.
+  std::size_t mChangeBytes = 1000;
+};
+
+/// @brief Settings of a FleetCore.
+struct FleetSettings
+{
+  Member mSelf;
+  /// Endpoints that are asked until a peer is known.
+  std::vector<state::Endpoint> mSeeds;
+  FleetPolicy mPolicy;
+  ReaderPauses mReaderPauses;
+  std::uint32_t mSeed = 1;
+};
+
+/// @brief A request for changes to another instance.
+struct PullRequest
+{
+  state::Endpoint mFrom;
+  state::Revision mAfter = 0;
+
+  auto operator<=>(const PullRequest&) const = default;
+};
+
+/// @brief A message with all its receivers.
+struct Sending
+{
+  FleetMessage mMessage;
+  std::vector<state::Endpoint> mReceivers;
+};
+
+/// @brief What is to be done after an event.
+struct FleetActions
+{
+  std::vector<Sending> mSend;
+  std::optional<StoreRead> mRead;
+  std::optional<PullRequest> mPull;
+  /// Keys whose records changed.
+  std::vector<std::string> mChanged;
+  /// Members that came or came back.
+  std::vector<Member> mJoined;
+};
+
+/// @brief Membership, dissemination and reads of one instance: events and a
+/// time in, actions out.
+struct FleetCore
+{
+  FleetSettings mSettings;
+  std::minstd_rand mRandom;
+  Catalogue mCatalogue;
+  Peers mPeers;
+  StoreReader mReader;
+  bool mPulling = false;
+  state::TimePoint mNextLocal;
+  state::TimePoint mNextRemote;
+  /// This instance's loads and silent upstreams, for the next messages.
+  std::vector<TokenLoad> mLoads;
+  std::vector<flows::FlowToken> mSilent;
+  /// Last loads of local peers.
+  std::map<state::Endpoint, std::vector<TokenLoad>> mPeerLoads;
+  /// Upstreams that peers have found silent since the last call of
+  /// TakePeerSilence.
+  std::set<flows::FlowToken> mPeerSilence;
+};
+
+/// @brief Makes a core that knows nothing.
+/// @param aSettings settings
+/// @return the core
+FleetCore
+MakeFleetCore(FleetSettings aSettings);
+
+/// @brief Advances the core. To be called each 50 to 250 ms.
+/// @param aCore the core
+/// @param aNow the time
+/// @return what to do
+FleetActions
+OnTick(FleetCore& aCore, state::TimePoint aNow);
+
+/// @brief Takes a message of another instance.
+/// @param aCore the core
+/// @param aMessage the message
+/// @param aNow the time
+/// @return what to do
+FleetActions
+OnMessage(FleetCore& aCore, const FleetMessage& aMessage, state::TimePoint aNow);
+
+/// @brief Takes the platform's answer to a read.
+/// @param aCore the core
+/// @param aRead the read
+/// @param aChanges its answer
+/// @param aNow the time
+/// @return what to do
+FleetActions
+OnStoreAnswer(FleetCore& aCore,
+              const StoreRead& aRead,
+              const ChangeSet& aChanges,
+              state::TimePoint aNow);
+
+/// @brief Takes the failure of a read.
+/// @param aCore the core
+/// @param aFailure what failed
+/// @param aNow the time
+void
+OnStoreFailure(FleetCore& aCore, ReadFailure aFailure, state::TimePoint aNow);
+
+/// @brief Takes the answer to a pull.
+/// @param aCore the core
+/// @param aChanges the changes, or nothing if the pull failed
+/// @param aNow the time
+/// @return what to do
+FleetActions
+OnPulled(FleetCore& aCore,
+         const std::optional<ChangeSet>& aChanges,
+         state::TimePoint aNow);
+
+/// @brief Returns the sum of the local peers' loads by upstream.
+/// @param aCore the core
+/// @return the loads
+std::map<flows::FlowToken, flows::UpstreamLoad>
+SumPeerLoads(const FleetCore& aCore);
+
+} // namespace sassafrasknot::fleet
+
+#endif
--- /dev/null
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -0,0 +1,53 @@
+#ifndef SASSAFRASKNOT_FLEET_FLEET_MESSAGE_HPP
+#define SASSAFRASKNOT_FLEET_FLEET_MESSAGE_HPP
+
+#include "sassafrasknot/fleet/catalogue.hpp"
+#include "sassafrasknot/fleet/peers.hpp"
+#include "sassafrasknot/flows/upstream_table.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace sassafrasknot::fleet {
+
+/// @brief What the sender knows of another member.
+struct ToldMember
+{
+  Member mMember;
+  /// How long ago it was heard.
+  state::Duration mAge{ 0 };
+
+  auto operator<=>(const ToldMember&) const = default;
+};
+
+/// @brief The sender's own load at one upstream.
+struct TokenLoad
+{
+  flows::FlowToken mToken = flows::kNoToken;
+  flows::UpstreamLoad mLoad;
+
+  auto operator<=>(const TokenLoad&) const = default;
+};
+
+/// @brief A datagram between two instances.
+struct FleetMessage
+{
+  Member mSender;
+  /// Revision that the sender knows.
+  state::Revision mRevision = 0;
+  /// How long ago the platform confirmed that revision as its newest; absent
+  /// if it never did.
+  std::optional<state::Duration> mConfirmedAge;
+  std::vector<ToldMember> mMembers;
+  /// Present in messages within a data centre.
+  std::optional<std::vector<TokenLoad>> mLoads;
+  /// Upstreams that the sender has found silent.
+  std::vector<flows::FlowToken> mSilent;
+  /// The newest changes, if they are short.
+  std::optional<ChangeSet> mChanges;
+};
+
+} // namespace sassafrasknot::fleet
+
+#endif
--- /dev/null
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -0,0 +1,110 @@
+#ifndef SASSAFRASKNOT_FLEET_PEERS_HPP
+#define SASSAFRASKNOT_FLEET_PEERS_HPP
+
+#include "sassafrasknot/state/endpoint.hpp"
+#include "sassafrasknot/state/identifiers.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace sassafrasknot::fleet {
+
+/// @brief An instance as it describes itself to others.
+struct Member
+{
+  /// UDP and TCP endpoint for other instances; identifies the member.
+  state::Endpoint mEndpoint;
+  state::DataCentreId mDataCentre;
+  /// Start of its process, in milliseconds since the Unix epoch; a later one
+  /// replaces an earlier one.
+  std::uint64_t mIncarnation = 0;
+  /// It is about to stop and reads nothing for others.
+  bool mLeaving = false;
+
+  auto operator<=>(const Member&) const = default;
+};
+
+/// @brief A member as this instance sees it.
+struct Peer
+{
+  Member mMember;
+  /// When the member itself was last heard.
+  state::TimePoint mHeard;
+  /// When any instance last heard it.
+  state::TimePoint mSeen;
+};
+
+/// @brief The other instances that this one knows.
+struct Peers
+{
+  Member mSelf;
+  std::map<state::Endpoint, Peer> mPeers;
+};
+
+/// A member that nobody has heard for so long is taken for dead; three times
+/// the period of messages between data centres.
+constexpr std::chrono::milliseconds kDeadAfter{ 3500 };
+/// Members are forgotten after this time.
+constexpr std::chrono::seconds kForgetAfter{ 60 };
+
+/// @brief Notes a message from a member.
+/// @param aPeers the peers
+/// @param aMember its sender
+/// @param aNow the time
+/// @return whether the member is new or was taken for dead
+bool
+NoteHeard(Peers& aPeers, const Member& aMember, state::TimePoint aNow);
+
+/// @brief Notes what another instance says of a member.
+/// @param aPeers the peers
+/// @param aMember the member
+/// @param aAge how long ago the member was heard
+/// @param aNow the time
+void
+NoteTold(Peers& aPeers,
+         const Member& aMember,
+         state::Duration aAge,
+         state::TimePoint aNow);
+
+/// @brief Returns whether a peer is taken to be alive.
+/// @param aPeer the peer
+/// @param aNow the time
+/// @return whether it was heard recently
+bool
+IsAlive(const Peer& aPeer, state::TimePoint aNow);
+
+/// @brief Returns the live peers of this instance's data centre.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return the peers, by endpoint
+std::vector<const Peer*>
+LocalPeers(const Peers& aPeers, state::TimePoint aNow);
+
+/// @brief Returns the live peers of other data centres.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return the peers, by endpoint
+std::vector<const Peer*>
+RemotePeers(const Peers& aPeers, state::TimePoint aNow);
+
+/// @brief Returns this instance's place in the order in which the instances of
+/// its data centre read the platform for the others.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return 0 for the reader
+std::size_t
+ReaderRank(const Peers& aPeers, state::TimePoint aNow);
+
+/// @brief Forgets members that were not seen for long.
+/// @param aPeers the peers
+/// @param aNow the time
+void
+ForgetDead(Peers& aPeers, state::TimePoint aNow);
+
+} // namespace sassafrasknot::fleet
+
+#endif
--- /dev/null
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -0,0 +1,68 @@
+#ifndef SASSAFRASKNOT_FLOWS_FLOW_ENTRY_HPP
+#define SASSAFRASKNOT_FLOWS_FLOW_ENTRY_HPP
+
+#include "sassafrasknot/flows/packet.hpp"
+#include "sassafrasknot/flows/routing.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+
+namespace sassafrasknot::flows {
+
+/// @brief What an instance has seen of one flow. It is an observation only:
+/// without it packets still reach their upstream by their token.
+struct FlowEntry
+{
+  FlowToken mToken = kNoToken;
+  RequestKind mKind = RequestKind::NonIdempotent;
+  std::chrono::milliseconds mTimeout{ 0 };
+  /// The caller has the upstream's handshake.
+  bool mOpen = false;
+  /// A request is at the upstream.
+  bool mAtWork = false;
+  /// Counted in its upstream's load.
+  bool mCounted = false;
+  /// The missing answer to the opening packet is noted already.
+  bool mSilenceNoted = false;
+  /// When the opening packet was sent on.
+  state::TimePoint mOpened;
+  /// When the newest request was sent on.
+  state::TimePoint mRequested;
+  state::TimePoint mLastPacket;
+  /// Sequence number behind the caller's newest byte.
+  std::uint32_t mNextSequence = 0;
+  std::uint32_t mAcknowledged = 0;
+};
+
+/// @brief What a packet shows about its flow.
+struct PacketFindings
+{
+  /// The upstream has answered since the last packet.
+  bool mAnswered = false;
+  /// A new request starts.
+  bool mRequest = false;
+  /// Payload that was sent before.
+  bool mRepeated = false;
+};
+
+/// @brief Returns whether one sequence number is behind another, modulo 2^32.
+/// @param aLeft a sequence number
+/// @param aRight a sequence number
+/// @return whether aLeft is after aRight
+bool
+IsAfter(std::uint32_t aLeft, std::uint32_t aRight);
+
+/// @brief Notes a packet of an established flow.
+/// @param aEntry the flow
+/// @param aPacket the packet
+/// @param aNow the time
+/// @return what the packet shows
+PacketFindings
+NotePacket(FlowEntry& aEntry,
+           const CallerPacket& aPacket,
+           state::TimePoint aNow);
+
+} // namespace sassafrasknot::flows
+
+#endif
--- /dev/null
+++ b/include/sassafrasknot/flows/packet.hpp
@@ -0,0 +1,30 @@
+#ifndef SASSAFRASKNOT_FLOWS_PACKET_HPP
+#define SASSAFRASKNOT_FLOWS_PACKET_HPP
+
+#include "sassafrasknot/flows/upstream.hpp"
+#include "sassafrasknot/state/flow.hpp"
+
+#include <cstdint>
+
+namespace sassafrasknot::flows {
+
+/// @brief What a decision needs to know of a caller's packet.
+struct CallerPacket
+{
+  state::FlowKey mFlow;
+  state::SegmentKind mKind = state::SegmentKind::Data;
+  /// Earlier copies of an opening packet that the caller has sent.
+  std::uint32_t mCopy = 0;
+  /// Sequence number of the first payload byte, modulo 2^32.
+  std::uint32_t mSequence = 0;
+  /// Cumulative acknowledgement of the upstream's bytes, modulo 2^32.
+  std::uint32_t mAcknowledged = 0;
+  /// Payload, in bytes.
+  std::uint32_t mPayload = 0;
+  /// Token that the upstream last returned to the caller.
+  FlowToken mToken = kNoToken;
+};
+
+} // namespace sassafrasknot::flows
+
+#endif
--- a/include/sassafrasknot/transport/udp_session.hpp
+++ b/include/sassafrasknot/net/udp_session.hpp
@@ -1,5 +1,5 @@
-#ifndef SASSAFRASKNOT_TRANSPORT_UDP_SESSION_HPP
-#define SASSAFRASKNOT_TRANSPORT_UDP_SESSION_HPP
+#ifndef SASSAFRASKNOT_NET_UDP_SESSION_HPP
+#define SASSAFRASKNOT_NET_UDP_SESSION_HPP
 
 #include "sassafrasknot/state/endpoint.hpp"
 #include "sassafrasknot/state/error.hpp"
@@ -14,8 +14,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-/// @brief Sockets, gRPC, timers, threads and logs.
-namespace sassafrasknot::transport {
+/// @brief Sockets, HTTP and structured logs without any dependency on gRPC.
+namespace sassafrasknot::net {
 
 /// @brief A UDP socket that receives for one thread. It stays alive while a
 /// receive is pending.
@@ -34,6 +34,9 @@
     bool mSharePort = false;
     /// In bytes.
     std::size_t mReceiveBuffer = std::size_t{ 4 } << 20U;
+    /// Longest datagram that is received whole, in bytes; the default is the
+    /// largest one of UDP over IPv4, rounded up.
+    std::size_t mLargestDatagram = 65536;
   };
 
   /// @brief Opens and binds a socket.
@@ -44,7 +47,7 @@
     boost::asio::io_context& aContext,
     const Options& aOptions);
 
-  explicit UdpSession(boost::asio::io_context& aContext);
+  UdpSession(boost::asio::io_context& aContext, std::size_t aLargestDatagram);
 
   /// @brief Starts receiving.
   /// @param aHandler is called on the context's thread until Close
@@ -57,6 +60,15 @@
   bool Send(const state::Endpoint& aTo,
             std::span<const std::uint8_t> aDatagram);
 
+  /// @brief Sends a datagram of two parts without waiting.
+  /// @param aTo receiver
+  /// @param aPrefix its first bytes
+  /// @param aRest its other bytes
+  /// @return false if the kernel did not take it
+  bool Send(const state::Endpoint& aTo,
+            std::span<const std::uint8_t> aPrefix,
+            std::span<const std::uint8_t> aRest);
+
   /// @brief Stops receiving. To be called on the context's thread.
   void Close();
 
@@ -72,6 +84,6 @@
   std::vector<std::uint8_t> mBuffer;
 };
 
-} // namespace sassafrasknot::transport
+} // namespace sassafrasknot::net
 
 #endif
--- a/include/sassafrasknot/transport/log.hpp
+++ b/include/sassafrasknot/transport/log.hpp
@@ -2,16 +2,16 @@
 #define SASSAFRASKNOT_TRANSPORT_LOG_HPP
 
 #include "sassafrasknot/coordination/control_core.hpp"
+#include "sassafrasknot/net/structured_log.hpp"
 #include "sassafrasknot/protocol/settings.hpp"
 
-#include <string>
+#include <cstddef>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 namespace sassafrasknot::transport {
 
-using LogFields = std::vector<std::pair<std::string, std::string>>;
+using net::FormatLogLine;
+using net::LogFields;
 
 /// @brief Starts the log, which goes to standard error. To be called once.
 /// @param aProgram name of the program
@@ -33,14 +33,6 @@
          std::string_view aEvent,
          const LogFields& aFields = {});
 
-/// @brief Formats a line of the log.
-/// @param aEvent name of the event
-/// @param aFields keys and values; a value with other than printable ASCII
-/// without space, quote, backslash and '=' is quoted and escaped
-/// @return the line, without a line break
-std::string
-FormatLogLine(std::string_view aEvent, const LogFields& aFields);
-
 } // namespace sassafrasknot::transport
 
 #endif
--- /dev/null
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -0,0 +1,87 @@
+#ifndef SASSAFRASKNOT_EDGE_CONTROL_LOOP_HPP
+#define SASSAFRASKNOT_EDGE_CONTROL_LOOP_HPP
+
+#include "sassafrasknot/edge/adapters.hpp"
+#include "sassafrasknot/edge/metrics.hpp"
+#include "sassafrasknot/edge/settings.hpp"
+#include "sassafrasknot/fleet/fleet_core.hpp"
+#include "sassafrasknot/flows/directory_builder.hpp"
+#include "sassafrasknot/net/http_server.hpp"
+#include "sassafrasknot/net/structured_log.hpp"
+#include "sassafrasknot/net/udp_session.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "store_client.hpp"
+#include "traffic_loop.hpp"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace sassafrasknot::edge {
+
+/// Runs the fleet core and connects it with the store, the other instances and
+/// the traffic thread.
+class ControlLoop
+{
+public:
+  using Reload = std::function<state::Result<EdgeSettings>()>;
+
+  ControlLoop(EdgeSettings aSettings, Adapters aAdapters, Reload aReload);
+
+  state::Result<void> Open();
+  /// Runs until a planned stop has ended.
+  void Run();
+
+private:
+  void ScheduleTick();
+  void Tick();
+  void WaitForSignal();
+  void BeginStop();
+  void CheckStop(state::TimePoint aNow);
+  void ReloadSettings();
+  void Execute(const fleet::FleetActions& aActions);
+  void StartRead(const fleet::StoreRead& aRead);
+  void StartPull(const fleet::PullRequest& aPull);
+  void TakeChanged(const std::vector<std::string>& aKeys);
+  void TakeRecord(const fleet::Record& aRecord);
+  void PublishDirectory();
+  void NoteStore(bool aReachable, const std::string& aReason);
+  void OnFleetDatagram(std::span<std::uint8_t> aDatagram);
+  void OnTrafficReport(TrafficReport aReport);
+  bool IsReady() const;
+  net::HttpReply ServeReadiness(std::string_view aTarget);
+  net::HttpReply ServeAdmin(std::string_view aTarget);
+  net::HttpReply ServeFleet(std::string_view aTarget);
+  std::string DumpText() const;
+
+  EdgeSettings mSettings;
+  Adapters mAdapters;
+  Reload mReload;
+  std::shared_ptr<Metrics> mMetrics = std::make_shared<Metrics>();
+  std::shared_ptr<net::EventLog> mLog;
+  fleet::FleetCore mCore;
+  flows::DirectoryBuilder mBuilder;
+  bool mDirectoryDue = false;
+  bool mPublished = false;
+  bool mStoreReachable = true;
+  bool mSilenceNews = false;
+  bool mLoadNews = false;
+  std::optional<state::TimePoint> mStopping;
+  TrafficReport mTrafficReport;
+  boost::asio::io_context mContext{ 1 };
+  boost::asio::steady_timer mTimer{ mContext };
+  boost::asio::signal_set mSignals{ mContext };
+  std::shared_ptr<net::UdpSession> mFleetSession;
+  std::vector<std::shared_ptr<net::HttpServer>> mServers;
+  TrafficLoop mTraffic;
+};
+
+} // namespace sassafrasknot::edge
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -0,0 +1,135 @@
+#include "sassafrasknot/edge/metrics.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <tuple>
+
+namespace sassafrasknot::edge {
+namespace {
+
+constexpr std::string_view kPrefix = "sassafrasknot_";
+
+using Counter = std::atomic<std::uint64_t>;
+
+void
+WriteHead(std::ostream& aOut,
+          std::string_view aName,
+          std::string_view aHelp,
+          std::string_view aType)
+{
+  aOut << "# HELP " << kPrefix << aName << ' ' << aHelp << "\n# TYPE "
+       << kPrefix << aName << ' ' << aType << '\n';
+}
+
+void
+WriteCounter(std::ostream& aOut,
+             std::string_view aName,
+             std::string_view aHelp,
+             const Counter& aCounter)
+{
+  WriteHead(aOut, aName, aHelp, "counter");
+  aOut << kPrefix << aName << ' ' << aCounter.load() << '\n';
+}
+
+void
+WriteHistogram(std::ostream& aOut,
+               std::string_view aName,
+               std::string_view aHelp,
+               const LatencyHistogram& aHistogram)
+{
+  WriteHead(aOut, aName, aHelp, "histogram");
+  std::uint64_t count = 0;
+  for (std::size_t index = 0; index < aHistogram.mBuckets.size(); ++index) {
+    count += aHistogram.mBuckets[index].load();
+    aOut << kPrefix << aName << "_bucket{le=\"";
+    if (index < kLatencyBounds.size()) {
+      aOut << std::chrono::duration<double>(kLatencyBounds[index]).count();
+    } else {
+      aOut << "+Inf";
+    }
+    aOut << "\"} " << count << '\n';
+  }
+  constexpr double kMicrosPerSecond = 1e6;
+  aOut << kPrefix << aName << "_sum "
+       << static_cast<double>(aHistogram.mSumMicros.load()) / kMicrosPerSecond
+       << '\n'
+       << kPrefix << aName << "_count " << count << '\n';
+}
+
+} // namespace
+
+void
+Observe(LatencyHistogram& aHistogram, state::Duration aLatency)
+{
+  const auto bound = std::ranges::lower_bound(kLatencyBounds, aLatency);
+  Count(aHistogram.mBuckets[static_cast<std::size_t>(bound -
+                                                     kLatencyBounds.begin())]);
+  const auto micros =
+    std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count();
+  aHistogram.mSumMicros.fetch_add(static_cast<std::uint64_t>(micros),
+                                  std::memory_order_relaxed);
+}
+
+void
+Count(Counter& aCounter)
+{
+  aCounter.fetch_add(1, std::memory_order_relaxed);
+}
+
+std::string
+MetricsText(const Metrics& aMetrics, const std::vector<Gauge>& aGauges)
+{
+  std::ostringstream out;
+  WriteHead(out, "packets_total", "Callers' packets by decision.", "counter");
+  for (std::size_t index = 0; index < flows::kReasons; ++index) {
+    out << kPrefix << "packets_total{reason=\""
+        << ToString(static_cast<flows::Reason>(index)) << "\"} "
+        << aMetrics.mPackets[index].load() << '\n';
+  }
+  const std::tuple<std::string_view, std::string_view, const Counter&>
+    counters[] = {
+      { "malformed_packets_total",
+        "Packets that could not be read.",
+        aMetrics.mMalformedPackets },
+      { "unsent_packets_total",
+        "Packets that the kernel did not take.",
+        aMetrics.mUnsentPackets },
+      { "silences_begun_total",
+        "Upstreams that ceased to answer.",
+        aMetrics.mSilencesBegun },
+      { "silences_ended_total",
+        "Upstreams that answered again.",
+        aMetrics.mSilencesEnded },
+      { "store_calls_total", "Calls to the platform.", aMetrics.mStoreCalls },
+      { "store_failures_total",
+        "Calls to the platform that failed.",
+        aMetrics.mStoreFailures },
+      { "unreadable_records_total",
+        "Published items that could not be read.",
+        aMetrics.mUnreadableRecords },
+      { "fleet_messages_total",
+        "Messages from other instances.",
+        aMetrics.mFleetMessages },
+      { "unreadable_messages_total",
+        "Datagrams that were no message of an instance.",
+        aMetrics.mUnreadableMessages },
+      { "pulls_total", "Reads from other instances.", aMetrics.mPulls },
+      { "pull_failures_total",
+        "Reads from other instances that failed.",
+        aMetrics.mPullFailures },
+    };
+  for (const auto& [name, help, counter] : counters) {
+    WriteCounter(out, name, help, counter);
+  }
+  WriteHistogram(out,
+                 "store_call_seconds",
+                 "Time of answered calls to the platform.",
+                 aMetrics.mStoreCall);
+  for (const auto& gauge : aGauges) {
+    WriteHead(out, gauge.mName, gauge.mHelp, "gauge");
+    out << kPrefix << gauge.mName << ' ' << gauge.mValue << '\n';
+  }
+  return out.str();
+}
+
+} // namespace sassafrasknot::edge
--- /dev/null
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -0,0 +1,93 @@
+#ifndef SASSAFRASKNOT_EDGE_TRAFFIC_LOOP_HPP
+#define SASSAFRASKNOT_EDGE_TRAFFIC_LOOP_HPP
+
+#include "sassafrasknot/edge/adapters.hpp"
+#include "sassafrasknot/edge/metrics.hpp"
+#include "sassafrasknot/edge/settings.hpp"
+#include "sassafrasknot/fleet/fleet_message.hpp"
+#include "sassafrasknot/flows/flow_router.hpp"
+#include "sassafrasknot/net/structured_log.hpp"
+#include "sassafrasknot/net/udp_session.hpp"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace sassafrasknot::edge {
+
+/// What the traffic thread tells the control thread at each report.
+struct TrafficReport
+{
+  std::vector<fleet::TokenLoad> mLoads;
+  /// Upstreams that this instance itself has found silent.
+  std::vector<flows::FlowToken> mSilent;
+  std::size_t mFlows = 0;
+  /// Time since a caller's last packet.
+  state::Duration mQuiet{ 0 };
+  /// Upstreams as this thread sees them, for the dump.
+  std::string mUpstreams;
+};
+
+/// Forwards callers' packets on a thread of its own.
+class TrafficLoop
+{
+public:
+  /// Called on the traffic thread.
+  using Reporter = std::function<void(TrafficReport)>;
+
+  TrafficLoop(EdgeSettings aSettings,
+              PacketFormat aFormat,
+              std::shared_ptr<Metrics> aMetrics,
+              std::shared_ptr<net::EventLog> aLog);
+  ~TrafficLoop();
+  TrafficLoop(const TrafficLoop&) = delete;
+  TrafficLoop& operator=(const TrafficLoop&) = delete;
+
+  /// Binds the socket and starts the thread.
+  state::Result<void> Start(Reporter aReporter);
+  void Stop();
+
+  /// The following may be called from any thread.
+  void UseDirectory(std::shared_ptr<const flows::Directory> aDirectory);
+  void UsePeerLoads(std::map<flows::FlowToken, flows::UpstreamLoad> aLoads);
+  void UsePeerSilence(std::set<flows::FlowToken> aTokens);
+
+private:
+  void ScheduleTick();
+  void Tick();
+  void Report(state::TimePoint aNow);
+  void OnDatagram(std::span<std::uint8_t> aDatagram);
+  void Execute(const flows::CallerPacket& aPacket,
+               const flows::Decision& aDecision,
+               std::span<std::uint8_t> aDatagram);
+  void LogDecision(const flows::CallerPacket& aPacket,
+                   const flows::Decision& aDecision);
+  void LogSilenceChanges();
+
+  EdgeSettings mSettings;
+  PacketFormat mFormat;
+  std::shared_ptr<Metrics> mMetrics;
+  std::shared_ptr<net::EventLog> mLog;
+  Reporter mReporter;
+  flows::FlowRouter mRouter;
+  state::TimePoint mLastPacket;
+  unsigned mTicks = 0;
+  boost::asio::io_context mContext{ 1 };
+  boost::asio::steady_timer mTimer{ mContext };
+  std::shared_ptr<net::UdpSession> mSession;
+  std::thread mThread;
+};
+
+} // namespace sassafrasknot::edge
+
+#endif
--- /dev/null
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -0,0 +1,259 @@
+#include "sassafrasknot/fleet/fleet_core.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace sassafrasknot::fleet {
+namespace {
+
+std::size_t
+ValueBytes(const ChangeSet& aChanges)
+{
+  std::size_t bytes = 0;
+  for (const auto& record : aChanges.mRecords) {
+    bytes += record.mKey.size() + record.mValue.size();
+  }
+  return bytes;
+}
+
+FleetMessage
+ComposeMessage(const FleetCore& aCore, state::TimePoint aNow)
+{
+  FleetMessage message;
+  message.mSender = aCore.mPeers.mSelf;
+  message.mRevision = aCore.mCatalogue.mRevision;
+  if (aCore.mReader.mEverConfirmed) {
+    message.mConfirmedAge = aNow - aCore.mReader.mConfirmed;
+  }
+  message.mSilent = aCore.mSilent;
+  return message;
+}
+
+std::vector<ToldMember>
+SampleMembers(FleetCore& aCore, state::TimePoint aNow)
+{
+  std::vector<ToldMember> members;
+  for (const auto& [endpoint, peer] : aCore.mPeers.mPeers) {
+    if (IsAlive(peer, aNow)) {
+      members.push_back({ peer.mMember, aNow - peer.mSeen });
+    }
+  }
+  std::ranges::shuffle(members, aCore.mRandom);
+  members.resize(
+    std::min(members.size(), aCore.mSettings.mPolicy.mMembersTold));
+  return members;
+}
+
+std::vector<const Peer*>
+Sample(std::vector<const Peer*> aPeers,
+       std::size_t aCount,
+       std::minstd_rand& aRandom)
+{
+  std::ranges::shuffle(aPeers, aRandom);
+  aPeers.resize(std::min(aPeers.size(), aCount));
+  return aPeers;
+}
+
+void
+Send(FleetActions& aActions,
+     FleetMessage aMessage,
+     const std::vector<const Peer*>& aPeers)
+{
+  if (aPeers.empty()) {
+    return;
+  }
+  Sending sending{ std::move(aMessage), {} };
+  for (const auto* peer : aPeers) {
+    sending.mReceivers.push_back(peer->mMember.mEndpoint);
+  }
+  aActions.mSend.push_back(std::move(sending));
+}
+
+void
+SendLocal(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
+{
+  auto message = ComposeMessage(aCore, aNow);
+  message.mLoads = aCore.mLoads;
+  Send(aActions,
+       std::move(message),
+       Sample(LocalPeers(aCore.mPeers, aNow),
+              aCore.mSettings.mPolicy.mLocalFanOut,
+              aCore.mRandom));
+}
+
+/// Sends members to one instance of another data centre and to one of this
+/// data centre; to the seeds as long as nobody else is known.
+void
+SendRemote(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
+{
+  auto message = ComposeMessage(aCore, aNow);
+  message.mMembers = SampleMembers(aCore, aNow);
+  auto receivers = Sample(RemotePeers(aCore.mPeers, aNow), 1, aCore.mRandom);
+  std::ranges::copy(Sample(LocalPeers(aCore.mPeers, aNow), 1, aCore.mRandom),
+                    std::back_inserter(receivers));
+  Send(aActions, std::move(message), receivers);
+}
+
+void
+SendToSeeds(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
+{
+  auto seeds = aCore.mSettings.mSeeds;
+  std::erase(seeds, aCore.mPeers.mSelf.mEndpoint);
+  aActions.mSend.push_back({ ComposeMessage(aCore, aNow), std::move(seeds) });
+}
+
+/// Tells all local peers of changes that the platform has just published.
+void
+SpreadChanges(FleetCore& aCore,
+              FleetActions& aActions,
+              state::Revision aBefore,
+              state::TimePoint aNow)
+{
+  auto message = ComposeMessage(aCore, aNow);
+  if (auto changes = ChangesAfter(aCore.mCatalogue, aBefore);
+      changes.mAfter != 0 &&
+      ValueBytes(changes) <= aCore.mSettings.mPolicy.mChangeBytes) {
+    message.mChanges = std::move(changes);
+  }
+  Send(aActions, std::move(message), LocalPeers(aCore.mPeers, aNow));
+}
+
+void
+TakeChanges(FleetCore& aCore, FleetActions& aActions, const ChangeSet& aChanges)
+{
+  if (auto changed = Merge(aCore.mCatalogue, aChanges)) {
+    std::ranges::move(*changed, std::back_inserter(aActions.mChanged));
+  }
+}
+
+} // namespace
+
+FleetCore
+MakeFleetCore(FleetSettings aSettings)
+{
+  FleetCore core;
+  core.mRandom.seed(aSettings.mSeed);
+  core.mPeers.mSelf = aSettings.mSelf;
+  core.mReader.mPauses = aSettings.mReaderPauses;
+  core.mSettings = std::move(aSettings);
+  return core;
+}
+
+FleetActions
+OnTick(FleetCore& aCore, state::TimePoint aNow)
+{
+  FleetActions actions;
+  const auto& policy = aCore.mSettings.mPolicy;
+  if (aNow >= aCore.mNextLocal) {
+    aCore.mNextLocal = aNow + policy.mLocalPeriod;
+    SendLocal(aCore, actions, aNow);
+    const bool isAlone = LocalPeers(aCore.mPeers, aNow).empty() &&
+                         RemotePeers(aCore.mPeers, aNow).empty();
+    if (isAlone) {
+      SendToSeeds(aCore, actions, aNow);
+    }
+  }
+  if (aNow >= aCore.mNextRemote) {
+    aCore.mNextRemote = aNow + policy.mRemotePeriod;
+    ForgetDead(aCore.mPeers, aNow);
+    SendRemote(aCore, actions, aNow);
+    std::erase_if(aCore.mPeerLoads, [&](const auto& aEntry) {
+      const auto found = aCore.mPeers.mPeers.find(aEntry.first);
+      return found == aCore.mPeers.mPeers.end() ||
+             !IsAlive(found->second, aNow);
+    });
+  }
+  actions.mRead = NextRead(aCore.mReader,
+                           ReaderRank(aCore.mPeers, aNow),
+                           aCore.mCatalogue.mRevision,
+                           aNow);
+  return actions;
+}
+
+FleetActions
+OnMessage(FleetCore& aCore, const FleetMessage& aMessage, state::TimePoint aNow)
+{
+  FleetActions actions;
+  const auto& sender = aMessage.mSender;
+  if (sender.mEndpoint == aCore.mPeers.mSelf.mEndpoint) {
+    return actions;
+  }
+  const bool isNews = NoteHeard(aCore.mPeers, sender, aNow);
+  for (const auto& told : aMessage.mMembers) {
+    NoteTold(aCore.mPeers, told.mMember, told.mAge, aNow);
+  }
+  if (isNews) {
+    actions.mJoined.push_back(sender);
+    auto reply = ComposeMessage(aCore, aNow);
+    reply.mMembers = SampleMembers(aCore, aNow);
+    actions.mSend.push_back({ std::move(reply), { sender.mEndpoint } });
+  }
+  if (aMessage.mLoads) {
+    aCore.mPeerLoads[sender.mEndpoint] = *aMessage.mLoads;
+  }
+  aCore.mPeerSilence.insert(aMessage.mSilent.begin(), aMessage.mSilent.end());
+  if (aMessage.mChanges) {
+    TakeChanges(aCore, actions, *aMessage.mChanges);
+  }
+  const auto revision = aCore.mCatalogue.mRevision;
+  if (aMessage.mRevision > revision && !aCore.mPulling) {
+    aCore.mPulling = true;
+    actions.mPull = PullRequest{ sender.mEndpoint, revision };
+  }
+  if (aMessage.mRevision == revision && revision != 0 &&
+      aMessage.mConfirmedAge) {
+    NoteConfirmed(aCore.mReader, *aMessage.mConfirmedAge, aNow);
+  }
+  return actions;
+}
+
+FleetActions
+OnStoreAnswer(FleetCore& aCore,
+              const StoreRead& aRead,
+              const ChangeSet& aChanges,
+              state::TimePoint aNow)
+{
+  FleetActions actions;
+  const auto before = aCore.mCatalogue.mRevision;
+  TakeChanges(aCore, actions, aChanges);
+  NoteRead(aCore.mReader, aRead, !aChanges.mRecords.empty(), aNow);
+  if (!actions.mChanged.empty() && before != 0) {
+    SpreadChanges(aCore, actions, before, aNow);
+  }
+  return actions;
+}
+
+void
+OnStoreFailure(FleetCore& aCore, ReadFailure aFailure, state::TimePoint aNow)
+{
+  NoteReadFailure(aCore.mReader, aFailure, aCore.mRandom, aNow);
+}
+
+FleetActions
+OnPulled(FleetCore& aCore,
+         const std::optional<ChangeSet>& aChanges,
+         state::TimePoint /*aNow*/)
+{
+  FleetActions actions;
+  aCore.mPulling = false;
+  if (aChanges) {
+    TakeChanges(aCore, actions, *aChanges);
+  }
+  return actions;
+}
+
+std::map<flows::FlowToken, flows::UpstreamLoad>
+SumPeerLoads(const FleetCore& aCore)
+{
+  std::map<flows::FlowToken, flows::UpstreamLoad> sums;
+  for (const auto& [endpoint, loads] : aCore.mPeerLoads) {
+    for (const auto& load : loads) {
+      auto& sum = sums[load.mToken];
+      sum.mFeeds += load.mLoad.mFeeds;
+      sum.mAtWork += load.mLoad.mAtWork;
+    }
+  }
+  return sums;
+}
+
+} // namespace sassafrasknot::fleet
--- /dev/null
+++ b/src/sassafrasknot/fleet/store_reader.cpp
@@ -0,0 +1,95 @@
+#include "sassafrasknot/fleet/store_reader.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::fleet {
+
+std::optional<StoreRead>
+NextRead(StoreReader& aReader,
+         std::size_t aRank,
+         state::Revision aRevision,
+         state::TimePoint aNow)
+{
+  if (aReader.mOutstanding || aNow < aReader.mNext) {
+    return std::nullopt;
+  }
+  const bool isFull = aRevision == 0 || aReader.mNeedsFull;
+  const auto& pauses = aReader.mPauses;
+  const auto takeOver =
+    pauses.mTakeOver +
+    pauses.mTakeOverStep * static_cast<std::int64_t>(aRank);
+  const bool isMine = aRank == 0 || !aReader.mEverConfirmed ||
+                      aNow - aReader.mConfirmed > takeOver;
+  if (!isMine) {
+    return std::nullopt;
+  }
+  aReader.mOutstanding = true;
+  if (isFull) {
+    return StoreRead{ true, aReader.mMayBeStale, 0, {} };
+  }
+  // The first watch answers at once, since it only confirms what was read.
+  const auto wait =
+    aReader.mEverConfirmed && aRank == 0 ? pauses.mWatch
+                                         : std::chrono::milliseconds(1);
+  return StoreRead{ false, false, aRevision, wait };
+}
+
+void
+NoteRead(StoreReader& aReader,
+         const StoreRead& aRead,
+         bool aChanged,
+         state::TimePoint aNow)
+{
+  aReader.mOutstanding = false;
+  aReader.mFailures = 0;
+  aReader.mNext = aNow;
+  if (aRead.mFull) {
+    aReader.mNeedsFull = false;
+  }
+  if (!aRead.mMayBeStale) {
+    aReader.mEverConfirmed = true;
+    aReader.mConfirmed = aNow;
+  }
+  aReader.mMayBeStale = false;
+  if (aChanged && !aRead.mFull) {
+    aReader.mNext = aNow + aReader.mPauses.mAfterChanges;
+  }
+}
+
+void
+NoteReadFailure(StoreReader& aReader,
+                ReadFailure aFailure,
+                std::minstd_rand& aRandom,
+                state::TimePoint aNow)
+{
+  aReader.mOutstanding = false;
+  if (aFailure == ReadFailure::HistoryLost) {
+    aReader.mNeedsFull = true;
+    aReader.mMayBeStale = false;
+    aReader.mNext = aNow;
+    return;
+  }
+  // The first retry comes soon, since most failures end with the connection.
+  const auto doublings = std::min(aReader.mFailures, 8U);
+  ++aReader.mFailures;
+  const auto ceiling =
+    std::min(aReader.mPauses.mFirstRetry * (std::int64_t{ 1 } << doublings),
+             aReader.mPauses.mLongestRetry);
+  std::uniform_int_distribution<std::int64_t> pause(ceiling.count() / 2,
+                                                    ceiling.count());
+  aReader.mNext = aNow + std::chrono::milliseconds(pause(aRandom));
+}
+
+void
+NoteConfirmed(StoreReader& aReader,
+              state::Duration aAge,
+              state::TimePoint aNow)
+{
+  const auto confirmed = aNow - aAge;
+  if (!aReader.mEverConfirmed || confirmed > aReader.mConfirmed) {
+    aReader.mEverConfirmed = true;
+    aReader.mConfirmed = confirmed;
+  }
+}
+
+} // namespace sassafrasknot::fleet
--- /dev/null
+++ b/src/sassafrasknot/flows/directory_builder.cpp
@@ -0,0 +1,52 @@
+#include "sassafrasknot/flows/directory_builder.hpp"
+
+namespace sassafrasknot::flows {
+
+void
+PutUpstream(DirectoryBuilder& aBuilder, const Upstream& aUpstream)
+{
+  aBuilder.mUpstreams[aUpstream.mId] = { { aUpstream, Presence::Listed }, {} };
+}
+
+void
+RemoveUpstream(DirectoryBuilder& aBuilder,
+               const std::string& aId,
+               state::TimePoint aNow)
+{
+  const auto found = aBuilder.mUpstreams.find(aId);
+  if (found == aBuilder.mUpstreams.end()) {
+    return;
+  }
+  auto& [listed, lapsed] = found->second;
+  if (listed.mUpstream.mDraining) {
+    aBuilder.mUpstreams.erase(found);
+  } else if (listed.mPresence == Presence::Listed) {
+    listed.mPresence = Presence::Missing;
+    lapsed = aNow;
+  }
+}
+
+bool
+DropLapsed(DirectoryBuilder& aBuilder, state::TimePoint aNow)
+{
+  return std::erase_if(aBuilder.mUpstreams, [&](const auto& aItem) {
+           const auto& entry = aItem.second;
+           return entry.mListed.mPresence == Presence::Missing &&
+                  aNow - entry.mLapsed > kLapseGrace;
+         }) > 0;
+}
+
+std::shared_ptr<const Directory>
+BuildDirectory(const DirectoryBuilder& aBuilder, state::Revision aRevision)
+{
+  auto directory = std::make_shared<Directory>();
+  directory->mRevision = aRevision;
+  directory->mConfiguration = aBuilder.mConfiguration;
+  directory->mUpstreams.reserve(aBuilder.mUpstreams.size());
+  for (const auto& [id, entry] : aBuilder.mUpstreams) {
+    directory->mUpstreams.push_back(entry.mListed);
+  }
+  return directory;
+}
+
+} // namespace sassafrasknot::flows
--- /dev/null
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -0,0 +1,190 @@
+#include "sassafrasknot/messages/fleet_codec.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+#include "generated/fleet.pb.h"
+
+namespace sassafrasknot::messages {
+namespace {
+
+using std::chrono::milliseconds;
+
+state::Error
+Malformed(const char* aMessage)
+{
+  return { state::ErrorCode::Malformed, state::Verdict::NotRun, aMessage };
+}
+
+std::uint32_t
+ToMilliseconds(state::Duration aDuration)
+{
+  constexpr auto kMost = std::numeric_limits<std::uint32_t>::max() - 1;
+  const auto count = std::chrono::duration_cast<milliseconds>(aDuration).count();
+  return static_cast<std::uint32_t>(
+    std::clamp<std::int64_t>(count, 0, std::int64_t{ kMost }));
+}
+
+void
+ToWire(const fleet::Member& aMember, WireMember& aWire)
+{
+  aWire.set_address(aMember.mEndpoint.mAddress.mValue);
+  aWire.set_port(aMember.mEndpoint.mPort);
+  aWire.set_data_centre(aMember.mDataCentre.mValue);
+  aWire.set_incarnation(aMember.mIncarnation);
+  aWire.set_leaving(aMember.mLeaving);
+}
+
+state::Result<fleet::Member>
+FromWire(const WireMember& aWire)
+{
+  if (aWire.address() == 0 || aWire.port() == 0 ||
+      aWire.port() > std::numeric_limits<std::uint16_t>::max() ||
+      aWire.data_centre().empty()) {
+    return Malformed("fleet message: a member without endpoint or data centre");
+  }
+  return fleet::Member{
+    { { aWire.address() }, static_cast<std::uint16_t>(aWire.port()) },
+    { aWire.data_centre() },
+    aWire.incarnation(),
+    aWire.leaving()
+  };
+}
+
+void
+ToWire(const fleet::ChangeSet& aChanges, WireChanges& aWire)
+{
+  aWire.set_after(aChanges.mAfter);
+  aWire.set_up_to(aChanges.mUpTo);
+  for (const auto& record : aChanges.mRecords) {
+    auto& wire = *aWire.add_records();
+    wire.set_key(record.mKey);
+    wire.set_value(record.mValue);
+    wire.set_revision(record.mRevision);
+    wire.set_created(record.mCreated);
+    wire.set_deleted(record.mDeleted);
+  }
+}
+
+fleet::ChangeSet
+FromWire(const WireChanges& aWire)
+{
+  fleet::ChangeSet changes{ aWire.after(), aWire.up_to(), {} };
+  for (const auto& record : aWire.records()) {
+    changes.mRecords.push_back({ record.key(),
+                                 record.value(),
+                                 record.revision(),
+                                 record.created(),
+                                 record.deleted() });
+  }
+  return changes;
+}
+
+state::Result<std::vector<fleet::TokenLoad>>
+FromWire(const WireLoads& aWire)
+{
+  if (aWire.feeds_size() != aWire.tokens_size() ||
+      aWire.at_work_size() != aWire.tokens_size()) {
+    return Malformed("fleet message: lists of loads differ in length");
+  }
+  std::vector<fleet::TokenLoad> loads;
+  for (int index = 0; index < aWire.tokens_size(); ++index) {
+    loads.push_back({ aWire.tokens(index),
+                      { aWire.feeds(index), aWire.at_work(index) } });
+  }
+  return loads;
+}
+
+} // namespace
+
+std::string
+EncodeMessage(const fleet::FleetMessage& aMessage)
+{
+  WireMessage wire;
+  ToWire(aMessage.mSender, *wire.mutable_sender());
+  wire.set_revision(aMessage.mRevision);
+  if (aMessage.mConfirmedAge) {
+    wire.set_confirmed_age_ms_plus_one(
+      ToMilliseconds(*aMessage.mConfirmedAge) + 1);
+  }
+  for (const auto& told : aMessage.mMembers) {
+    auto& member = *wire.add_members();
+    ToWire(told.mMember, member);
+    member.set_age_ms(ToMilliseconds(told.mAge));
+  }
+  if (aMessage.mLoads) {
+    auto& loads = *wire.mutable_loads();
+    for (const auto& load : *aMessage.mLoads) {
+      loads.add_tokens(load.mToken);
+      loads.add_feeds(load.mLoad.mFeeds);
+      loads.add_at_work(load.mLoad.mAtWork);
+    }
+  }
+  for (const auto token : aMessage.mSilent) {
+    wire.add_silent(token);
+  }
+  if (aMessage.mChanges) {
+    ToWire(*aMessage.mChanges, *wire.mutable_changes());
+  }
+  return wire.SerializeAsString();
+}
+
+state::Result<fleet::FleetMessage>
+DecodeMessage(std::span<const std::uint8_t> aBytes)
+{
+  WireMessage wire;
+  if (!wire.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    return Malformed("fleet message: not readable");
+  }
+  auto sender = FromWire(wire.sender());
+  if (!sender) {
+    return sender.error();
+  }
+  fleet::FleetMessage message;
+  message.mSender = std::move(sender).value();
+  message.mRevision = wire.revision();
+  if (const auto age = wire.confirmed_age_ms_plus_one(); age > 0) {
+    message.mConfirmedAge = milliseconds(age - 1);
+  }
+  for (const auto& told : wire.members()) {
+    auto member = FromWire(told);
+    if (!member) {
+      return member.error();
+    }
+    message.mMembers.push_back(
+      { std::move(member).value(), milliseconds(told.age_ms()) });
+  }
+  if (wire.has_loads()) {
+    auto loads = FromWire(wire.loads());
+    if (!loads) {
+      return loads.error();
+    }
+    message.mLoads = std::move(loads).value();
+  }
+  message.mSilent.assign(wire.silent().begin(), wire.silent().end());
+  if (wire.has_changes()) {
+    message.mChanges = FromWire(wire.changes());
+  }
+  return message;
+}
+
+std::string
+EncodeChanges(const fleet::ChangeSet& aChanges)
+{
+  WireChanges wire;
+  ToWire(aChanges, wire);
+  return wire.SerializeAsString();
+}
+
+state::Result<fleet::ChangeSet>
+DecodeChanges(std::string_view aBytes)
+{
+  WireChanges wire;
+  if (!wire.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    return Malformed("changes: not readable");
+  }
+  return FromWire(wire);
+}
+
+} // namespace sassafrasknot::messages
--- /dev/null
+++ b/src/sassafrasknot/net/http_call.cpp
@@ -0,0 +1,146 @@
+#include "sassafrasknot/net/http_call.hpp"
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/bind_handler.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace sassafrasknot::net {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// HTTP/1.1 in Beast's form.
+constexpr unsigned kHttpVersion = 11;
+
+/// Keeps itself alive until its handler was called.
+class HttpCall : public std::enable_shared_from_this<HttpCall>
+{
+public:
+  HttpCall(const boost::asio::any_io_executor& aExecutor,
+           const HttpRequest& aRequest,
+           HttpHandler aHandler)
+    : mStream(aExecutor)
+    , mEndpoint(aRequest.mEndpoint)
+    , mConnectTimeout(aRequest.mConnectTimeout)
+    , mAnswerTimeout(aRequest.mAnswerTimeout)
+    , mHandler(std::move(aHandler))
+    , mRequest(http::verb::get, aRequest.mTarget, kHttpVersion)
+  {
+    mRequest.set(http::field::host, ToString(mEndpoint));
+    mRequest.set(http::field::accept, "application/json");
+    mRequest.keep_alive(false);
+    mParser.body_limit(aRequest.mBodyBytes);
+  }
+
+  void Start()
+  {
+    mStream.expires_after(mConnectTimeout);
+    mStream.async_connect(
+      tcp::endpoint(boost::asio::ip::address_v4(mEndpoint.mAddress.mValue),
+                    mEndpoint.mPort),
+      beast::bind_front_handler(&HttpCall::OnConnected, shared_from_this()));
+  }
+
+  void Cancel() { mStream.cancel(); }
+
+private:
+  void OnConnected(error_code aError)
+  {
+    if (aError) {
+      Fail(aError, "connect");
+      return;
+    }
+    mStream.expires_after(mAnswerTimeout);
+    http::async_write(
+      mStream,
+      mRequest,
+      [self = shared_from_this()](error_code aFailure, std::size_t /*aBytes*/) {
+        self->OnWritten(aFailure);
+      });
+  }
+
+  void OnWritten(error_code aError)
+  {
+    if (aError) {
+      Fail(aError, "write");
+      return;
+    }
+    http::async_read(
+      mStream,
+      mBuffer,
+      mParser,
+      [self = shared_from_this()](error_code aFailure, std::size_t /*aBytes*/) {
+        self->OnRead(aFailure);
+      });
+  }
+
+  void OnRead(error_code aError)
+  {
+    if (aError) {
+      Fail(aError, "read");
+      return;
+    }
+    auto response = mParser.release();
+    Finish(HttpAnswer{ response.result_int(), std::move(response.body()) });
+  }
+
+  void Finish(state::Result<HttpAnswer> aResult)
+  {
+    error_code ignored; // The connection is given up in any case.
+    mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    mStream.close();
+    std::exchange(mHandler, nullptr)(std::move(aResult));
+  }
+
+  void Fail(error_code aError, const char* aAction)
+  {
+    const auto code = aError == beast::error::timeout
+                        ? state::ErrorCode::DeadlineExceeded
+                        : state::ErrorCode::Unavailable;
+    Finish(state::Error{ code,
+                         state::Verdict::NotRun,
+                         ToString(mEndpoint) + ": " + aAction + ": " +
+                           aError.message() });
+  }
+
+  beast::tcp_stream mStream;
+  state::Endpoint mEndpoint;
+  std::chrono::milliseconds mConnectTimeout;
+  std::chrono::milliseconds mAnswerTimeout;
+  HttpHandler mHandler;
+  http::request<http::empty_body> mRequest;
+  http::response_parser<http::string_body> mParser;
+  beast::flat_buffer mBuffer;
+};
+
+} // namespace
+
+HttpCancel
+StartGet(const boost::asio::any_io_executor& aExecutor,
+         const HttpRequest& aRequest,
+         HttpHandler aHandler)
+{
+  const auto call =
+    std::make_shared<HttpCall>(aExecutor, aRequest, std::move(aHandler));
+  call->Start();
+  return [weak = std::weak_ptr<HttpCall>(call)] {
+    if (const auto running = weak.lock()) {
+      running->Cancel();
+    }
+  };
+}
+
+} // namespace sassafrasknot::net
--- /dev/null
+++ b/src/sassafrasknot/net/http_server.cpp
@@ -0,0 +1,152 @@
+#include "sassafrasknot/net/http_server.hpp"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace sassafrasknot::net {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// Connections without a request are closed after this time, so that silent
+/// ones do not use up descriptors.
+constexpr std::chrono::seconds kIdle{ 10 };
+/// Largest header of a request, in bytes; requests have no body.
+constexpr std::uint32_t kHeaderBytes = 4096;
+
+/// Serves one connection; keeps itself alive until it ends.
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+  HttpSession(tcp::socket aSocket, HttpRequestHandler aHandler)
+    : mStream(std::move(aSocket))
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  void Read()
+  {
+    mParser.emplace();
+    mParser->header_limit(kHeaderBytes);
+    mStream.expires_after(kIdle);
+    http::async_read(
+      mStream,
+      mBuffer,
+      *mParser,
+      [self = shared_from_this()](error_code aFailure, std::size_t /*aBytes*/) {
+        if (!aFailure) {
+          self->Answer();
+        }
+      });
+  }
+
+private:
+  void Answer()
+  {
+    const auto& request = mParser->get();
+    HttpReply reply{ 405, "text/plain", "only GET is served\n" };
+    if (request.method() == http::verb::get) {
+      const auto target = request.target();
+      reply = mHandler({ target.data(), target.size() });
+    }
+    mResponse = {};
+    mResponse.version(request.version());
+    mResponse.result(reply.mStatus);
+    mResponse.set(http::field::content_type, reply.mContentType);
+    mResponse.body() = std::move(reply.mBody);
+    mResponse.keep_alive(request.keep_alive());
+    mResponse.prepare_payload();
+    http::async_write(
+      mStream,
+      mResponse,
+      [self = shared_from_this()](error_code aFailure, std::size_t /*aBytes*/) {
+        if (!aFailure && self->mResponse.keep_alive()) {
+          self->Read();
+        }
+      });
+  }
+
+  beast::tcp_stream mStream;
+  HttpRequestHandler mHandler;
+  beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::empty_body>> mParser;
+  http::response<http::string_body> mResponse;
+};
+
+} // namespace
+
+HttpServer::HttpServer(boost::asio::io_context& aContext,
+                       HttpRequestHandler aHandler)
+  : mAcceptor(aContext)
+  , mHandler(std::move(aHandler))
+{
+}
+
+state::Result<std::shared_ptr<HttpServer>>
+HttpServer::Open(boost::asio::io_context& aContext,
+                 const state::Endpoint& aEndpoint,
+                 HttpRequestHandler aHandler)
+{
+  auto server = std::make_shared<HttpServer>(aContext, std::move(aHandler));
+  const tcp::endpoint endpoint(
+    boost::asio::ip::address_v4(aEndpoint.mAddress.mValue), aEndpoint.mPort);
+  error_code failure;
+  auto& acceptor = server->mAcceptor;
+  acceptor.open(endpoint.protocol(), failure);
+  if (!failure) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+  }
+  if (!failure) {
+    acceptor.bind(endpoint, failure);
+  }
+  if (!failure) {
+    acceptor.listen(tcp::acceptor::max_listen_connections, failure);
+  }
+  if (failure) {
+    return state::Error{ state::ErrorCode::Unavailable,
+                         state::Verdict::NotRun,
+                         "cannot listen on TCP " + ToString(aEndpoint) + ": " +
+                           failure.message() };
+  }
+  server->Accept();
+  return server;
+}
+
+void
+HttpServer::Close()
+{
+  error_code ignored; // The acceptor is closed in any case.
+  mAcceptor.close(ignored);
+}
+
+void
+HttpServer::Accept()
+{
+  mAcceptor.async_accept(
+    [self = shared_from_this()](error_code aFailure, tcp::socket aSocket) {
+      if (!self->mAcceptor.is_open()) {
+        return;
+      }
+      if (!aFailure) {
+        std::make_shared<HttpSession>(std::move(aSocket), self->mHandler)
+          ->Read();
+      }
+      self->Accept();
+    });
+}
+
+} // namespace sassafrasknot::net
--- a/src/sassafrasknot/transport/udp_session.cpp
+++ b/src/sassafrasknot/net/udp_session.cpp
@@ -1,20 +1,19 @@
-#include "sassafrasknot/transport/udp_session.hpp"
+#include "sassafrasknot/net/udp_session.hpp"
 
+#include <array>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <sys/socket.h>
 
-namespace sassafrasknot::transport {
+namespace sassafrasknot::net {
 namespace {
 
 using boost::asio::ip::udp;
 using ReusePort =
   boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-/// Largest UDP datagram over IPv4, rounded up.
-constexpr std::size_t kLargestDatagram = 65536;
 /// Datagrams that are handled before timers get their turn.
 constexpr int kDatagramsPerTurn = 64;
 
@@ -27,16 +26,18 @@
 
 } // namespace
 
-UdpSession::UdpSession(boost::asio::io_context& aContext)
+UdpSession::UdpSession(boost::asio::io_context& aContext,
+                       std::size_t aLargestDatagram)
   : mSocket(aContext)
-  , mBuffer(kLargestDatagram)
+  , mBuffer(aLargestDatagram)
 {
 }
 
 state::Result<std::shared_ptr<UdpSession>>
 UdpSession::Open(boost::asio::io_context& aContext, const Options& aOptions)
 {
-  auto session = std::make_shared<UdpSession>(aContext);
+  auto session = 
+    std::make_shared<UdpSession>(aContext, aOptions.mLargestDatagram);
   auto& socket = session->mSocket;
   boost::system::error_code failure;
   socket.open(udp::v4(), failure);
@@ -82,6 +83,20 @@
   return !failure;
 }
 
+bool
+UdpSession::Send(const state::Endpoint& aTo,
+                 std::span<const std::uint8_t> aPrefix,
+                 std::span<const std::uint8_t> aRest)
+{
+  const std::array<boost::asio::const_buffer, 2> parts{
+    boost::asio::buffer(aPrefix.data(), aPrefix.size()),
+    boost::asio::buffer(aRest.data(), aRest.size()),
+  };
+  boost::system::error_code failure;
+  mSocket.send_to(parts, ToAsio(aTo), 0, failure);
+  return !failure;
+}
+
 void
 UdpSession::Close()
 {
@@ -128,4 +143,4 @@
   }
 }
 
-} // namespace sassafrasknot::transport
+} // namespace sassafrasknot::net
--- a/src/sassafrasknot/transport/log.cpp
+++ b/src/sassafrasknot/transport/log.cpp
@@ -1,94 +1,35 @@
 #include "sassafrasknot/transport/log.hpp"
 
-#include <algorithm>
-#include <array>
 #include <chrono>
-#include <map>
 #include <mutex>
+#include <optional>
+#include <string>
 
 #include <glog/logging.h>
 
 namespace sassafrasknot::transport {
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
-/// Lines of one event in the current second.
-struct EventWindow
-{
-  Clock::time_point mStart;
-  std::size_t mLines = 0;
-  std::size_t mSuppressed = 0;
-};
-
-struct LogLimiter
+struct SharedLimiter
 {
   std::mutex mMutex;
-  std::size_t mLinesPerSecond = 10;
-  std::map<std::string, EventWindow, std::less<>> mEvents;
+  net::LogLimiter mLimiter;
 };
 
-LogLimiter&
+SharedLimiter&
 Limiter()
 {
-  static LogLimiter sLimiter;
+  static SharedLimiter sLimiter;
   return sLimiter;
 }
 
-/// Returns whether a line may be written, and how many were left out before.
-std::pair<bool, std::size_t>
+std::optional<std::size_t>
 Admit(std::string_view aEvent)
 {
-  auto& limiter = Limiter();
-  const std::scoped_lock lock(limiter.mMutex);
-  auto found = limiter.mEvents.find(aEvent);
-  if (found == limiter.mEvents.end()) {
-    found = limiter.mEvents.emplace(aEvent, EventWindow{}).first;
-  }
-  auto& window = found->second;
-  if (const auto now = Clock::now();
-      now - window.mStart >= std::chrono::seconds(1)) {
-    window.mStart = now;
-    window.mLines = 0;
-  }
-  if (window.mLines >= limiter.mLinesPerSecond) {
-    ++window.mSuppressed;
-    return { false, 0 };
-  }
-  ++window.mLines;
-  return { true, std::exchange(window.mSuppressed, 0) };
-}
-
-bool
-IsPlain(char aCharacter)
-{
-  return aCharacter > ' ' && aCharacter < 0x7F && aCharacter != '"' &&
-         aCharacter != '\\' && aCharacter != '=';
-}
-
-void
-AppendValue(std::string& aLine, std::string_view aValue)
-{
-  if (!aValue.empty() && std::ranges::all_of(aValue, IsPlain)) {
-    aLine += aValue;
-    return;
-  }
-  constexpr std::string_view digits = "0123456789abcdef";
-  aLine += '"';
-  for (const char character : aValue) {
-    const auto code = static_cast<unsigned char>(character);
-    if (character == '"' || character == '\\') {
-      aLine += '\\';
-      aLine += character;
-    } else if (code < ' ' || code >= 0x7F) {
-      aLine += "\\x";
-      aLine += digits[code >> 4U];
-      aLine += digits[code & 15U];
-    } else {
-      aLine += character;
-    }
-  }
-  aLine += '"';
+  auto& shared = Limiter();
+  const std::scoped_lock lock(shared.mMutex);
+  return net::AdmitLine(
+    shared.mLimiter, aEvent, std::chrono::steady_clock::now());
 }
 
 google::LogSeverity
@@ -115,7 +56,7 @@
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = static_cast<int>(aThreshold);
   google::InitGoogleLogging(aProgram);
-  Limiter().mLinesPerSecond = aLinesPerSecond;
+  Limiter().mLimiter.mLinesPerSecond = aLinesPerSecond;
 }
 
 void
@@ -123,27 +64,15 @@
          std::string_view aEvent,
          const LogFields& aFields)
 {
-  const auto [admitted, suppressed] = Admit(aEvent);
-  if (!admitted) {
+  const auto suppressed = Admit(aEvent);
+  if (!suppressed) {
     return;
   }
   auto line = FormatLogLine(aEvent, aFields);
-  if (suppressed > 0) {
-    line += " suppressed=" + std::to_string(suppressed);
+  if (*suppressed > 0) {
+    line += " suppressed=" + std::to_string(*suppressed);
   }
   google::LogMessage(__FILE__, __LINE__, ToSeverity(aLevel)).stream() << line;
 }
 
-std::string
-FormatLogLine(std::string_view aEvent, const LogFields& aFields)
-{
-  std::string line = "event=";
-  AppendValue(line, aEvent);
-  for (const auto& [key, value] : aFields) {
-    line += ' ' + key + '=';
-    AppendValue(line, value);
-  }
-  return line;
-}
-
 } // namespace sassafrasknot::transport
--- a/src/sassafrasknot/transport/platform_client.cpp
+++ b/src/sassafrasknot/transport/platform_client.cpp
@@ -1,9 +1,10 @@
 #include "sassafrasknot/transport/platform_client.hpp"
 
+#include "sassafrasknot/net/http_call.hpp"
 #include "sassafrasknot/transport/back_off.hpp"
-#include "sassafrasknot/transport/platform_call.hpp"
 
 #include <list>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -31,6 +32,34 @@
            "platform: the client is stopped" };
 }
 
+state::Result<protocol::PlatformAnswer>
+Decode(const state::Endpoint& aEndpoint, state::Result<net::HttpAnswer> aAnswer)
+{
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kTooManyRequests = 429;
+  const auto fail = [&aEndpoint](state::ErrorCode aCode,
+                                 const std::string& aMessage) {
+    return state::Error{ aCode,
+                         state::Verdict::NotRun,
+                         "platform " + ToString(aEndpoint) + ": " + aMessage };
+  };
+  if (!aAnswer) {
+    auto error = aAnswer.error();
+    error.mMessage = "platform " + error.mMessage;
+    return error;
+  }
+  if (const auto status = aAnswer.value().mStatus; status != kOk) {
+    return fail(status == kTooManyRequests ? state::ErrorCode::Overloaded
+                                           : state::ErrorCode::Unavailable,
+                "status " + std::to_string(status));
+  }
+  auto answer = protocol::DecodePlatformAnswer(aAnswer.value().mBody);
+  if (!answer) {
+    return fail(state::ErrorCode::Malformed, answer.error().mMessage);
+  }
+  return answer;
+}
+
 } // namespace
 
 struct PlatformClient::Impl : std::enable_shared_from_this<Impl>
@@ -65,23 +94,25 @@
       aAttempt->mHandler(StoppedError());
       return;
     }
-    const auto call = std::make_shared<PlatformCall>(
+    const auto& endpoint =
+      mSettings.mEndpoints[mCurrent % mSettings.mEndpoints.size()];
+    const auto id = ++mLastCall;
+    mCalls[id] = net::StartGet(
       mExecutor,
-      mSettings,
-      mSettings.mEndpoints[mCurrent % mSettings.mEndpoints.size()],
-      aAttempt->mTarget,
-      aAttempt->mAnswerTimeout,
-      [self = shared_from_this(), aAttempt](auto aResult) {
-        self->OnResult(aAttempt, std::move(aResult));
+      net::HttpRequest{ endpoint,
+                        aAttempt->mTarget,
+                        mSettings.mConnectTimeout,
+                        aAttempt->mAnswerTimeout,
+                        mSettings.mAnswerBytes },
+      [self = shared_from_this(), aAttempt, endpoint, id](auto aAnswer) {
+        self->mCalls.erase(id);
+        self->OnResult(aAttempt, Decode(endpoint, std::move(aAnswer)));
       });
-    mCalls.push_back(call);
-    call->Start();
   }
 
   void OnResult(const AttemptPointer& aAttempt,
                 state::Result<protocol::PlatformAnswer> aResult)
   {
-    mCalls.remove_if([](const auto& aCall) { return aCall.expired(); });
     if (aResult && aAttempt->mFull && !aResult.value().mFull) {
       aResult = state::Error{ state::ErrorCode::Malformed,
                               state::Verdict::NotRun,
@@ -112,10 +143,8 @@
     for (const auto& timer : mTimers) {
       timer->cancel();
     }
-    for (const auto& weak : mCalls) {
-      if (const auto call = weak.lock()) {
-        call->Cancel();
-      }
+    for (const auto& [id, cancel] : mCalls) {
+      cancel();
     }
   }
 
@@ -126,7 +155,8 @@
   std::uint32_t mFailures = 0;
   bool mStopped = false;
   std::list<std::shared_ptr<boost::asio::steady_timer>> mTimers;
-  std::list<std::weak_ptr<PlatformCall>> mCalls;
+  std::map<std::uint64_t, net::HttpCancel> mCalls;
+  std::uint64_t mLastCall = 0;
 };
 
 PlatformClient::PlatformClient(boost::asio::any_io_executor aExecutor,
--- a/src/sassafrasknot/transport/traffic_pool.cpp
+++ b/src/sassafrasknot/transport/traffic_pool.cpp
@@ -44,7 +44,7 @@
 CheckUnused(const TrafficOptions& aOptions)
 {
   boost::asio::io_context context;
-  if (auto probe = UdpSession::Open(context, { aOptions.mListen, false });
+  if (auto probe = net::UdpSession::Open(context, { aOptions.mListen, false });
       !probe) {
     return probe.error();
   }
--- a/src/sassafrasknot/transport/traffic_worker.cpp
+++ b/src/sassafrasknot/transport/traffic_worker.cpp
@@ -94,7 +94,7 @@
 TrafficWorker::Open()
 {
   const auto& options = mShared.mOptions;
-  auto session = UdpSession::Open(
+  auto session = net::UdpSession::Open(
     mContext,
     { options.mListen, options.mThreads > 1, options.mReceiveBuffer });
   if (!session) {
--- a/src/sassafrasknot/transport/traffic_worker.hpp
+++ b/src/sassafrasknot/transport/traffic_worker.hpp
@@ -5,7 +5,7 @@
 #include "sassafrasknot/protocol/peer_message.hpp"
 #include "sassafrasknot/transport/traffic_pool.hpp"
 #include "sassafrasknot/transport/traffic_routes.hpp"
-#include "sassafrasknot/transport/udp_session.hpp"
+#include "sassafrasknot/net/udp_session.hpp"
 
 #include <atomic>
 #include <cstddef>
@@ -97,7 +97,7 @@
   std::size_t mIndex;
   boost::asio::io_context mContext{ 1 };
   boost::asio::steady_timer mTimer{ mContext };
-  std::shared_ptr<UdpSession> mSession;
+  std::shared_ptr<net::UdpSession> mSession;
   std::shared_ptr<const TrafficRoutes> mRoutes;
   coordination::TrafficCore mCore;
   HeldPackets mHeld;
