Tell repeated packets from reordered ones when judging an upstream's silence

Cause: packets of uploads overtake each other, and one that ended before the newest byte counted as a repetition. After a freeze the backlog holds a packet and its copies at once. Both made live upstreams silent, and feeds were reset. Change: a repetition counts 150 ms after the newest byte; one alone and flows that did not come back only make new flows go elsewhere.

--- a/include/sassafrasknot/fleet/fleet_message.hpp
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -42,7 +42,8 @@
   std::vector<ToldMember> mMembers;
   /// Present in messages within a data centre.
   std::optional<std::vector<TokenLoad>> mLoads;
-  /// Upstreams that the sender has found silent.
+  /// Upstreams that the sender has found silent; present in messages within a
+  /// data centre, since a cut between data centres looks alike for all of one.
   std::vector<flows::FlowToken> mSilent;
   /// The newest changes, if they are short.
   std::optional<ChangeSet> mChanges;
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -23,12 +23,14 @@
   bool mAtWork = false;
   /// Counted in its upstream's load.
   bool mCounted = false;
-  /// The missing answer to the opening packet is noted already.
+  /// The missing answer to the newest packet is noted already.
   bool mSilenceNoted = false;
   /// When the opening packet was sent on.
   state::TimePoint mOpened;
-  /// When the newest request was sent on.
+  /// When the newest request was first sent on.
   state::TimePoint mRequested;
+  /// When the newest byte was first sent on.
+  state::TimePoint mNewData;
   state::TimePoint mLastPacket;
   /// Sequence number behind the caller's newest byte.
   std::uint32_t mNextSequence = 0;
@@ -42,7 +44,8 @@
   bool mAnswered = false;
   /// A new request starts.
   bool mRequest = false;
-  /// Payload that was sent before.
+  /// Payload that ends where earlier payload did, or before. Packets may also
+  /// overtake each other.
   bool mRepeated = false;
 };
 
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -72,10 +72,10 @@
 };
 
 /// @brief A change of belief about an upstream.
-struct SilenceChange
+struct LivenessChange
 {
   FlowToken mToken = kNoToken;
-  bool mSilent = false;
+  Liveness mLiveness = Liveness::Answers;
 };
 
 /// @brief Decides on callers' packets by the directory, the packets' tokens and
@@ -88,7 +88,7 @@
   UpstreamTable mUpstreams;
   std::unordered_map<state::FlowKey, FlowEntry> mFlows;
   /// Changes since they were last taken.
-  std::vector<SilenceChange> mSilenceChanges;
+  std::vector<LivenessChange> mLivenessChanges;
 };
 
 /// @brief Makes a router without any directory.
--- a/include/sassafrasknot/flows/silence.hpp
+++ b/include/sassafrasknot/flows/silence.hpp
@@ -8,28 +8,45 @@
 
 namespace sassafrasknot::flows {
 
-/// Unanswered packets of different flows without any sign of life in between
-/// that make an upstream silent. One alone may be a lost packet.
-constexpr std::uint32_t kSilentAfterFlows = 2;
-/// Pause until a silent upstream is tried with one flow; doubles with each
+/// Time after which a packet without an answer proves something. Callers send
+/// again after 200 ms; an upstream acknowledges within a few round trips.
+constexpr std::chrono::milliseconds kAnswerTime{ 150 };
+/// Flows without an answer that make an upstream silent; one alone may be a
+/// lost packet.
+constexpr std::uint32_t kSilentAfter = 2;
+/// Flows that did not come back to this instance and make an upstream
+/// suspected. They may have moved to another instance.
+constexpr std::uint32_t kSuspectedAfterUnseen = 2;
+/// How long the word of another instance counts; several of its messages.
+constexpr std::chrono::milliseconds kPeerWord{ 1000 };
+/// Pause until a suspected upstream is tried with one flow; doubles with each
 /// failed trial. Close to the callers' retransmission time of 200 ms.
 constexpr std::chrono::milliseconds kFirstTrial{ 500 };
 /// Longest pause between trials; an upstream that returns is used again within
 /// this time.
 constexpr std::chrono::milliseconds kLongestTrial{ 2000 };
 
+/// @brief What the missing answers of an upstream mean.
+enum class Liveness : std::uint8_t
+{
+  Answers,
+  Suspected, ///< New flows go elsewhere, but for trials.
+  Silent,    ///< Open flows there may be given up, too.
+};
+
 /// @brief Signs of life of one upstream, as callers' packets show them. Answers
 /// go to callers directly, so that silence is all an instance can see.
 struct Silence
 {
+  Liveness mLiveness = Liveness::Answers;
   /// Last time at which a packet proved that the upstream answers.
   state::TimePoint mLastSign;
-  /// Unanswered packets since then.
-  std::uint32_t mUnanswered = 0;
-  bool mSilent = false;
-  /// This instance has found it silent itself.
-  bool mSeenHere = false;
-  state::TimePoint mSilentSince;
+  /// Flows since then whose caller repeats a packet.
+  std::uint32_t mRepeated = 0;
+  /// Flows since then whose caller did not come back.
+  std::uint32_t mUnseen = 0;
+  /// Until when another instance's word counts.
+  state::TimePoint mPeerWord;
   /// Next time at which a new flow tries it.
   state::TimePoint mNextTrial;
   std::chrono::milliseconds mTrialPause{ 0 };
@@ -38,28 +55,37 @@
 /// @brief Notes a packet that proves that the upstream answers.
 /// @param aSilence the upstream's signs
 /// @param aNow the time
-/// @return whether the upstream was silent until now
+/// @return whether its liveness changed
 bool
 NoteSign(Silence& aSilence, state::TimePoint aNow);
 
-/// @brief Notes that a flow got no answer.
+/// @brief Notes that a caller repeats a packet that was sent on at least
+/// kAnswerTime ago.
 /// @param aSilence the upstream's signs
-/// @param aSent when the packet without an answer was sent; a later sign of
-/// life makes it worthless
+/// @param aSent when the packet was first sent on; a later sign of life makes
+/// it worthless
 /// @param aNow the time
-/// @return whether the upstream has just become silent
+/// @return whether its liveness changed
 bool
-NoteUnanswered(Silence& aSilence,
-               state::TimePoint aSent,
-               state::TimePoint aNow);
+NoteRepeated(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow);
 
-/// @brief Makes the upstream silent at once, as others have found it so.
+/// @brief Notes that a caller did not come back within kAnswerTime of its
+/// opening packet.
 /// @param aSilence the upstream's signs
+/// @param aSent when that packet was sent on
 /// @param aNow the time
-void
-MakeSilent(Silence& aSilence, state::TimePoint aNow);
+/// @return whether its liveness changed
+bool
+NoteUnseen(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow);
+
+/// @brief Notes that another instance has found the upstream silent.
+/// @param aSilence the upstream's signs
+/// @param aNow the time
+/// @return whether its liveness changed
+bool
+NotePeerWord(Silence& aSilence, state::TimePoint aNow);
 
-/// @brief Returns whether a new flow may go there: always if it is not silent,
+/// @brief Returns whether a new flow may go there: always if it answers,
 /// otherwise once per trial.
 /// @param aSilence the upstream's signs
 /// @param aNow the time
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -147,7 +147,7 @@
 {
   const auto now = Clock::now();
   flows::OnTick(mRouter, now);
-  LogSilenceChanges();
+  LogLivenessChanges();
   if (++mTicks % kTicksPerReport == 0) {
     Report(now);
   }
@@ -161,7 +161,7 @@
     if (record.mOwn != flows::UpstreamLoad{}) {
       report.mLoads.push_back({ token, record.mOwn });
     }
-    if (record.mSilence.mSilent && record.mSilence.mSeenHere) {
+    if (record.mSilence.mRepeated >= flows::kSilentAfter) {
       report.mSilent.push_back(token);
     }
   }
@@ -190,8 +190,8 @@
   if (IsLogged(packet.value(), decision)) {
     LogDecision(packet.value(), decision);
   }
-  if (!mRouter.mSilenceChanges.empty()) {
-    LogSilenceChanges();
+  if (!mRouter.mLivenessChanges.empty()) {
+    LogLivenessChanges();
   }
 }
 
@@ -250,12 +250,12 @@
 }
 
 void
-TrafficLoop::LogSilenceChanges()
+TrafficLoop::LogLivenessChanges()
 {
   const auto now = Clock::now();
-  for (const auto& change : std::exchange(mRouter.mSilenceChanges, {})) {
-    Count(change.mSilent ? mMetrics->mSilencesBegun
-                         : mMetrics->mSilencesEnded);
+  for (const auto& change : std::exchange(mRouter.mLivenessChanges, {})) {
+    const bool answers = change.mLiveness == flows::Liveness::Answers;
+    Count(answers ? mMetrics->mSilencesEnded : mMetrics->mSilencesBegun);
     const auto* record =
       flows::FindUpstream(mRouter.mUpstreams, change.mToken);
     if (record == nullptr) {
@@ -264,10 +264,14 @@
     const auto age = std::chrono::duration_cast<milliseconds>(
       now - record->mSilence.mLastSign);
     mLog->Write(
-      change.mSilent ? "upstream_silent" : "upstream_answers",
+      answers ? "upstream_answers"
+              : (change.mLiveness == flows::Liveness::Silent
+                   ? "upstream_silent"
+                   : "upstream_suspected"),
       { { "upstream", record->mUpstream.mId },
         { "data_centre", record->mUpstream.mDataCentre.mValue },
-        { "unanswered", std::to_string(record->mSilence.mUnanswered) },
+        { "repeated", std::to_string(record->mSilence.mRepeated) },
+        { "unseen", std::to_string(record->mSilence.mUnseen) },
         { "last_sign_ms", std::to_string(age.count()) } });
   }
 }
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -72,7 +72,7 @@
                std::span<std::uint8_t> aDatagram);
   void LogDecision(const flows::CallerPacket& aPacket,
                    const flows::Decision& aDecision);
-  void LogSilenceChanges();
+  void LogLivenessChanges();
 
   EdgeSettings mSettings;
   PacketFormat mFormat;
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -25,7 +25,6 @@
   if (aCore.mReader.mEverConfirmed) {
     message.mConfirmedAge = aNow - aCore.mReader.mConfirmed;
   }
-  message.mSilent = aCore.mSilent;
   return message;
 }
 
@@ -74,6 +73,7 @@
 {
   auto message = ComposeMessage(aCore, aNow);
   message.mLoads = aCore.mLoads;
+  message.mSilent = aCore.mSilent;
   Send(aActions,
        std::move(message),
        Sample(LocalPeers(aCore.mPeers, aNow),
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -21,6 +21,8 @@
     aEntry.mNextSequence = aPacket.mSequence;
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
+    aEntry.mAtWork = false;
+    aEntry.mSilenceNoted = false;
   } else if (IsAfter(aPacket.mAcknowledged, aEntry.mAcknowledged)) {
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
@@ -31,6 +33,8 @@
     if (IsAfter(end, aEntry.mNextSequence)) {
       aEntry.mNextSequence = end;
       findings.mRequest = !aEntry.mAtWork;
+      aEntry.mNewData = aNow;
+      aEntry.mSilenceNoted = false;
       if (findings.mRequest) {
         aEntry.mRequested = aNow;
       }
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -9,15 +9,9 @@
 
 using std::chrono::milliseconds;
 
-/// An upstream that takes a flow answers within a few round trips, that is
-/// about 10 ms; the callers' first copy comes after 200 ms.
-constexpr milliseconds kOpeningAnswer{ 100 };
 /// Requests that last longer than this are taken to continue elsewhere, since
 /// no packet of the flow was seen for as long.
 constexpr milliseconds kWorkUnseen{ 2000 };
-/// A sign of life this recent outweighs what other instances say; it covers the
-/// age of their messages.
-constexpr milliseconds kFreshSign{ 400 };
 /// Entries of flows without packets are forgotten after this time.
 constexpr std::chrono::seconds kIdleDefault{ 15 };
 
@@ -51,21 +45,11 @@
 }
 
 void
-NoteAnswer(FlowRouter& aRouter, UpstreamRecord& aRecord, state::TimePoint aNow)
+NoteChange(FlowRouter& aRouter, const UpstreamRecord& aRecord, bool aChanged)
 {
-  if (NoteSign(aRecord.mSilence, aNow)) {
-    aRouter.mSilenceChanges.push_back({ aRecord.mToken, false });
-  }
-}
-
-void
-NoteNoAnswer(FlowRouter& aRouter,
-             UpstreamRecord& aRecord,
-             state::TimePoint aSent,
-             state::TimePoint aNow)
-{
-  if (NoteUnanswered(aRecord.mSilence, aSent, aNow)) {
-    aRouter.mSilenceChanges.push_back({ aRecord.mToken, true });
+  if (aChanged) {
+    aRouter.mLivenessChanges.push_back(
+      { aRecord.mToken, aRecord.mSilence.mLiveness });
   }
 }
 
@@ -158,12 +142,14 @@
   auto* record = FindUpstream(aRouter.mUpstreams, entry.mToken);
   // A caller that sends a copy has no answer. If the upstream had time enough
   // to answer, then a second one cannot answer beside it.
-  const bool hadTime = aNow - entry.mOpened >= kOpeningAnswer;
+  const bool hadTime = aNow - entry.mOpened >= kAnswerTime;
   if (record != nullptr && !hadTime) {
     return { Step::Forward, Reason::Repeated, state::Verdict::NotRun, record };
   }
-  if (record != nullptr && !entry.mSilenceNoted) {
-    NoteNoAnswer(aRouter, *record, entry.mOpened, aNow);
+  if (record != nullptr) {
+    NoteChange(aRouter,
+               *record,
+               NoteRepeated(record->mSilence, entry.mOpened, aNow));
   }
   return Place(aRouter, aPacket, *route, entry.mToken, aNow);
 }
@@ -222,11 +208,14 @@
   }
   AddLoad(*record, entry, 1);
   if (findings.mAnswered) {
-    NoteAnswer(aRouter, *record, aNow);
-  } else if (findings.mRepeated && entry.mAtWork) {
-    NoteNoAnswer(aRouter, *record, entry.mRequested, aNow);
+    NoteChange(aRouter, *record, NoteSign(record->mSilence, aNow));
+  } else if (findings.mRepeated && entry.mAtWork && !entry.mSilenceNoted) {
+    entry.mSilenceNoted = true;
+    NoteChange(aRouter,
+               *record,
+               NoteRepeated(record->mSilence, entry.mNewData, aNow));
   }
-  if (record->mSilence.mSilent && aPacket.mPayload > 0 &&
+  if (record->mSilence.mLiveness == Liveness::Silent && aPacket.mPayload > 0 &&
       entry.mKind == RequestKind::Idempotent) {
     Forget(aRouter, aPacket.mFlow);
     return Refuse(
@@ -290,12 +279,8 @@
               state::TimePoint aNow)
 {
   for (const auto token : aTokens) {
-    auto* record = FindUpstream(aRouter.mUpstreams, token);
-    // What this instance has just seen itself counts more.
-    if (record != nullptr && !record->mSilence.mSilent &&
-        aNow - record->mSilence.mLastSign > kFreshSign) {
-      MakeSilent(record->mSilence, aNow);
-      aRouter.mSilenceChanges.push_back({ token, true });
+    if (auto* record = FindUpstream(aRouter.mUpstreams, token)) {
+      NoteChange(aRouter, *record, NotePeerWord(record->mSilence, aNow));
     }
   }
 }
@@ -319,9 +304,10 @@
       continue;
     }
     if (!entry.mOpen && !entry.mSilenceNoted &&
-        aNow - entry.mOpened > kOpeningAnswer) {
+        aNow - entry.mOpened >= kAnswerTime) {
       entry.mSilenceNoted = true;
-      NoteNoAnswer(aRouter, *record, entry.mOpened, aNow);
+      NoteChange(
+        aRouter, *record, NoteUnseen(record->mSilence, entry.mOpened, aNow));
     }
     if (entry.mAtWork && aNow - entry.mLastPacket > kWorkUnseen) {
       AddLoad(*record, entry, -1);
--- a/src/sassafrasknot/flows/silence.cpp
+++ b/src/sassafrasknot/flows/silence.cpp
@@ -3,58 +3,96 @@
 #include <algorithm>
 
 namespace sassafrasknot::flows {
+namespace {
+
+Liveness
+Judge(const Silence& aSilence, state::TimePoint aNow)
+{
+  const bool hasPeerWord = aNow < aSilence.mPeerWord;
+  if (aSilence.mRepeated >= kSilentAfter ||
+      (aSilence.mRepeated > 0 && hasPeerWord)) {
+    return Liveness::Silent;
+  }
+  if (aSilence.mRepeated > 0 || aSilence.mUnseen >= kSuspectedAfterUnseen ||
+      hasPeerWord) {
+    return Liveness::Suspected;
+  }
+  return Liveness::Answers;
+}
+
+/// Only a sign of life improves the liveness.
+bool
+Update(Silence& aSilence, state::TimePoint aNow)
+{
+  const auto judged = std::max(Judge(aSilence, aNow), aSilence.mLiveness);
+  if (judged == aSilence.mLiveness) {
+    return false;
+  }
+  if (aSilence.mLiveness == Liveness::Answers) {
+    aSilence.mTrialPause = kFirstTrial;
+    aSilence.mNextTrial = aNow + kFirstTrial;
+  }
+  aSilence.mLiveness = judged;
+  return true;
+}
+
+} // namespace
 
 bool
 NoteSign(Silence& aSilence, state::TimePoint aNow)
 {
   aSilence.mLastSign = aNow;
-  aSilence.mUnanswered = 0;
-  const bool wasSilent = aSilence.mSilent;
-  aSilence.mSilent = false;
-  aSilence.mSeenHere = false;
-  return wasSilent;
+  aSilence.mRepeated = 0;
+  aSilence.mUnseen = 0;
+  aSilence.mPeerWord = {};
+  const bool isChanged = aSilence.mLiveness != Liveness::Answers;
+  aSilence.mLiveness = Liveness::Answers;
+  return isChanged;
 }
 
 bool
-NoteUnanswered(Silence& aSilence,
-               state::TimePoint aSent,
-               state::TimePoint aNow)
+NoteRepeated(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow)
 {
-  if (aSent < aSilence.mLastSign) {
+  if (aSent < aSilence.mLastSign || aNow - aSent < kAnswerTime) {
     return false;
   }
-  ++aSilence.mUnanswered;
-  if (aSilence.mUnanswered < kSilentAfterFlows) {
+  ++aSilence.mRepeated;
+  return Update(aSilence, aNow);
+}
+
+bool
+NoteUnseen(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow)
+{
+  if (aSent < aSilence.mLastSign || aNow - aSent < kAnswerTime) {
     return false;
   }
-  aSilence.mSeenHere = true;
-  const bool isNews = !aSilence.mSilent;
-  MakeSilent(aSilence, aNow);
-  return isNews;
+  ++aSilence.mUnseen;
+  return Update(aSilence, aNow);
 }
 
-void
-MakeSilent(Silence& aSilence, state::TimePoint aNow)
+bool
+NotePeerWord(Silence& aSilence, state::TimePoint aNow)
 {
-  if (aSilence.mSilent) {
-    return;
+  // What this instance has just seen itself counts more than a message that
+  // was sent before.
+  if (aNow - aSilence.mLastSign < kPeerWord / 2) {
+    return false;
   }
-  aSilence.mSilent = true;
-  aSilence.mSilentSince = aNow;
-  aSilence.mTrialPause = kFirstTrial;
-  aSilence.mNextTrial = aNow + kFirstTrial;
+  aSilence.mPeerWord = aNow + kPeerWord;
+  return Update(aSilence, aNow);
 }
 
 bool
 AdmitsFlow(const Silence& aSilence, state::TimePoint aNow)
 {
-  return !aSilence.mSilent || aNow >= aSilence.mNextTrial;
+  return aSilence.mLiveness == Liveness::Answers ||
+         aNow >= aSilence.mNextTrial;
 }
 
 void
 NoteTrial(Silence& aSilence, state::TimePoint aNow)
 {
-  if (!aSilence.mSilent) {
+  if (aSilence.mLiveness == Liveness::Answers) {
     return;
   }
   aSilence.mTrialPause = std::min(2 * aSilence.mTrialPause, kLongestTrial);
