Place feeds by the predicted use of upstreams and tell loads between data centres

Cause: feeds spread over all data centres, so that a cut between them broke most, and instances knew nothing of other data centres' flows. Change: cost in units of work time with a queue's expected wait; sums of loads between the first readers of data centres; a read follows the one before at once.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sassafrasknot::fleet {
@@ -20,7 +21,9 @@
 {
   /// Messages with loads within a data centre.
   std::chrono::milliseconds mLocalPeriod{ 250 };
-  /// Messages to other data centres and with member lists.
+  /// Messages with the sums of loads between data centres.
+  std::chrono::milliseconds mSumPeriod{ 500 };
+  /// Messages with member lists.
   std::chrono::milliseconds mRemotePeriod{ 1000 };
   /// Local peers that get one message each period; more would make the cost of
   /// an instance grow with its data centre.
@@ -82,12 +85,16 @@
   StoreReader mReader;
   bool mPulling = false;
   state::TimePoint mNextLocal;
+  state::TimePoint mNextSum;
   state::TimePoint mNextRemote;
   /// This instance's loads and silent upstreams, for the next messages.
   std::vector<TokenLoad> mLoads;
   std::vector<flows::FlowToken> mSilent;
   /// Last loads of local peers.
   std::map<state::Endpoint, std::vector<TokenLoad>> mPeerLoads;
+  /// Last sums of other data centres, with the time at which they were made.
+  std::map<state::DataCentreId, std::pair<state::TimePoint, std::vector<TokenLoad>>>
+    mSums;
   /// Upstreams that peers have found silent since the last call of
   /// TakePeerSilence.
   std::set<flows::FlowToken> mPeerSilence;
@@ -143,11 +150,12 @@
          const std::optional<ChangeSet>& aChanges,
          state::TimePoint aNow);
 
-/// @brief Returns the sum of the local peers' loads by upstream.
+/// @brief Returns the loads of all other instances by upstream, as far as they
+/// are known.
 /// @param aCore the core
 /// @return the loads
 std::map<flows::FlowToken, flows::UpstreamLoad>
-SumPeerLoads(const FleetCore& aCore);
+PeerLoads(const FleetCore& aCore);
 
 } // namespace sassafrasknot::fleet
 
--- a/include/sassafrasknot/fleet/fleet_message.hpp
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -21,7 +21,7 @@
   auto operator<=>(const ToldMember&) const = default;
 };
 
-/// @brief The sender's own load at one upstream.
+/// @brief Load at one upstream.
 struct TokenLoad
 {
   flows::FlowToken mToken = flows::kNoToken;
@@ -30,6 +30,15 @@
   auto operator<=>(const TokenLoad&) const = default;
 };
 
+/// @brief The loads of all instances of a data centre.
+struct DataCentreLoads
+{
+  state::DataCentreId mDataCentre;
+  /// How long ago they were summed.
+  state::Duration mAge{ 0 };
+  std::vector<TokenLoad> mLoads;
+};
+
 /// @brief A datagram between two instances.
 struct FleetMessage
 {
@@ -42,6 +51,9 @@
   std::vector<ToldMember> mMembers;
   /// Present in messages within a data centre.
   std::optional<std::vector<TokenLoad>> mLoads;
+  /// Sums by data centre: the sender's own one in messages between data
+  /// centres, all others in messages within one.
+  std::vector<DataCentreLoads> mSums;
   /// Upstreams that the sender has found silent; present in messages within a
   /// data centre, since a cut between data centres looks alike for all of one.
   std::vector<flows::FlowToken> mSilent;
--- a/include/sassafrasknot/fleet/peers.hpp
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -99,6 +99,13 @@
 std::size_t
 ReaderRank(const Peers& aPeers, state::TimePoint aNow);
 
+/// @brief Returns the first reader of each other data centre.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return one live peer per data centre
+std::vector<const Peer*>
+RemoteReaders(const Peers& aPeers, state::TimePoint aNow);
+
 /// @brief Forgets members that were not seen for long.
 /// @param aPeers the peers
 /// @param aNow the time
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -89,6 +89,7 @@
   std::unordered_map<state::FlowKey, FlowEntry> mFlows;
   /// Changes since they were last taken.
   std::vector<LivenessChange> mLivenessChanges;
+  state::TimePoint mLastTick;
 };
 
 /// @brief Makes a router without any directory.
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -11,18 +11,20 @@
 
 namespace sassafrasknot::flows {
 
-/// @brief Weights of the parts of a placement's cost. Costs are in units of a
-/// fully used upstream.
+/// @brief Weights of the parts of a placement's cost. The unit is the mean work
+/// time of a request.
 struct PlacementPolicy
 {
-  /// Another data centre costs latency and traffic between data centres.
-  double mRemote = 0.5;
+  /// Another data centre costs latency, traffic between data centres, and the
+  /// flow if the data centres are cut off from each other.
+  double mRemote = 0.15;
   /// An upstream that is slow after its start.
-  double mCold = 0.5;
+  double mCold = 0.3;
   /// An upstream whose entry has lapsed.
   double mMissing = 8.0;
-  /// Weight of a feed against a request at work, per slot.
-  double mFeed = 0.1;
+  /// Difference between an upstream without flows and one with its fair share
+  /// of them, so that flows spread when nothing else tells upstreams apart.
+  double mSpread = 0.05;
 };
 
 /// @brief What is to be placed.
@@ -35,6 +37,14 @@
   FlowToken mAvoid = kNoToken;
 };
 
+/// @brief Returns the mean wait at an upstream, in units of the mean work time:
+/// an approximation of a queue with several servers and random arrivals (Sakasegawa 1977).
+/// @param aUse mean number of requests at work per slot; may exceed 1
+/// @param aSlots number of slots
+/// @return the wait, growing steadily with use
+double
+ExpectedWait(double aUse, std::uint32_t aSlots);
+
 /// @brief Chooses the upstream of a new flow: the cheapest one that takes new
 /// flows, at random among equals.
 /// @param aUpstreams the service's upstreams
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -5,6 +5,7 @@
 #include "sassafrasknot/flows/silence.hpp"
 #include "sassafrasknot/state/time.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -13,13 +14,13 @@
 
 namespace sassafrasknot::flows {
 
-/// @brief What instances have open at one upstream.
+/// @brief What some instances have open at one upstream.
 struct UpstreamLoad
 {
   /// Flows that stay open for many requests.
   std::uint32_t mFeeds = 0;
-  /// Requests that it works on or has queued.
-  std::uint32_t mAtWork = 0;
+  /// Requests that it works on or has queued, averaged over kBusyAverage.
+  double mBusy = 0;
 
   auto operator<=>(const UpstreamLoad&) const = default;
 };
@@ -37,10 +38,16 @@
   Silence mSilence;
   /// Load by this instance's flows.
   UpstreamLoad mOwn;
+  /// Requests of this instance's flows at this moment.
+  std::uint32_t mAtWork = 0;
   /// Load by other instances' flows, as they last told.
   UpstreamLoad mPeers;
 };
 
+/// Time over which the number of requests at work is averaged: some ten
+/// requests long, and as short as the reports of other instances allow.
+constexpr std::chrono::milliseconds kBusyAverage{ 1000 };
+
 /// @brief All upstreams that packets may name, found by token or by service.
 struct UpstreamTable
 {
@@ -58,6 +65,12 @@
             const Directory& aDirectory,
             state::TimePoint aNow);
 
+/// @brief Advances the averages of requests at work.
+/// @param aTable the table
+/// @param aElapsed time since the last call
+void
+AverageBusy(UpstreamTable& aTable, state::Duration aElapsed);
+
 /// @brief Returns the upstream that a token names.
 /// @param aTable the table
 /// @param aToken the token
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -148,7 +148,7 @@
   }
   PublishDirectory();
   if (std::exchange(mLoadNews, false)) {
-    mTraffic.UsePeerLoads(fleet::SumPeerLoads(mCore));
+    mTraffic.UsePeerLoads(fleet::PeerLoads(mCore));
   }
   if (auto silent = std::exchange(mCore.mPeerSilence, {}); !silent.empty()) {
     mTraffic.UsePeerSilence(std::move(silent));
@@ -258,6 +258,8 @@
     { [this, aRead](const fleet::ChangeSet& aChanges) {
        NoteStore(true, "");
        Execute(fleet::OnStoreAnswer(mCore, aRead, aChanges, Clock::now()));
+       PublishDirectory();
+       Execute(fleet::OnTick(mCore, Clock::now()));
      },
       [this](const StoreFailure& aFailure) {
         NoteStore(aFailure.mKind == fleet::ReadFailure::HistoryLost,
@@ -307,6 +309,7 @@
                       { "reason", reason } });
       }
       Execute(fleet::OnPulled(mCore, changes, Clock::now()));
+      PublishDirectory();
     });
 }
 
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -240,9 +240,8 @@
   if (const auto* record = aDecision.mUpstream) {
     fields.emplace_back("upstream", record->mUpstream.mId);
     fields.emplace_back("data_centre", record->mUpstream.mDataCentre.mValue);
-    fields.emplace_back("own_at_work", std::to_string(record->mOwn.mAtWork));
-    fields.emplace_back("peers_at_work",
-                        std::to_string(record->mPeers.mAtWork));
+    fields.emplace_back("own_at_work", std::to_string(record->mAtWork));
+    fields.emplace_back("peers_busy", std::to_string(record->mPeers.mBusy));
   } else if (aPacket.mToken != flows::kNoToken) {
     fields.emplace_back("token", std::to_string(aPacket.mToken));
   }
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -53,6 +53,29 @@
   return aPeers;
 }
 
+using LoadsByToken = std::map<flows::FlowToken, flows::UpstreamLoad>;
+
+void
+AddLoads(LoadsByToken& aSums, const std::vector<TokenLoad>& aLoads)
+{
+  for (const auto& load : aLoads) {
+    auto& sum = aSums[load.mToken];
+    sum.mFeeds += load.mLoad.mFeeds;
+    sum.mBusy += load.mLoad.mBusy;
+  }
+}
+
+/// Loads of the other instances of this data centre.
+LoadsByToken
+SumLocalLoads(const FleetCore& aCore)
+{
+  LoadsByToken sums;
+  for (const auto& [endpoint, loads] : aCore.mPeerLoads) {
+    AddLoads(sums, loads);
+  }
+  return sums;
+}
+
 void
 Send(FleetActions& aActions,
      FleetMessage aMessage,
@@ -74,6 +97,11 @@
   auto message = ComposeMessage(aCore, aNow);
   message.mLoads = aCore.mLoads;
   message.mSilent = aCore.mSilent;
+  if (ReaderRank(aCore.mPeers, aNow) == 0) {
+    for (const auto& [dataCentre, sum] : aCore.mSums) {
+      message.mSums.push_back({ dataCentre, aNow - sum.first, sum.second });
+    }
+  }
   Send(aActions,
        std::move(message),
        Sample(LocalPeers(aCore.mPeers, aNow),
@@ -81,6 +109,24 @@
               aCore.mRandom));
 }
 
+/// Tells the first reader of each other data centre the loads of this one.
+void
+SendSum(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
+{
+  if (ReaderRank(aCore.mPeers, aNow) != 0) {
+    return;
+  }
+  auto sums = SumLocalLoads(aCore);
+  AddLoads(sums, aCore.mLoads);
+  DataCentreLoads sum{ aCore.mPeers.mSelf.mDataCentre, {}, {} };
+  for (const auto& [token, load] : sums) {
+    sum.mLoads.push_back({ token, load });
+  }
+  auto message = ComposeMessage(aCore, aNow);
+  message.mSums.push_back(std::move(sum));
+  Send(aActions, std::move(message), RemoteReaders(aCore.mPeers, aNow));
+}
+
 /// Sends members to one instance of another data centre and to one of this
 /// data centre; to the seeds as long as nobody else is known.
 void
@@ -153,6 +199,13 @@
       SendToSeeds(aCore, actions, aNow);
     }
   }
+  if (aNow >= aCore.mNextSum) {
+    aCore.mNextSum = aNow + policy.mSumPeriod;
+    SendSum(aCore, actions, aNow);
+    std::erase_if(aCore.mSums, [&](const auto& aEntry) {
+      return aNow - aEntry.second.first > kDeadAfter;
+    });
+  }
   if (aNow >= aCore.mNextRemote) {
     aCore.mNextRemote = aNow + policy.mRemotePeriod;
     ForgetDead(aCore.mPeers, aNow);
@@ -191,6 +244,15 @@
   if (aMessage.mLoads) {
     aCore.mPeerLoads[sender.mEndpoint] = *aMessage.mLoads;
   }
+  for (const auto& sum : aMessage.mSums) {
+    if (sum.mDataCentre != aCore.mPeers.mSelf.mDataCentre) {
+      auto& [time, loads] = aCore.mSums[sum.mDataCentre];
+      if (const auto summed = aNow - sum.mAge; summed > time) {
+        time = summed;
+        loads = sum.mLoads;
+      }
+    }
+  }
   aCore.mPeerSilence.insert(aMessage.mSilent.begin(), aMessage.mSilent.end());
   if (aMessage.mChanges) {
     TakeChanges(aCore, actions, *aMessage.mChanges);
@@ -243,17 +305,13 @@
 }
 
 std::map<flows::FlowToken, flows::UpstreamLoad>
-SumPeerLoads(const FleetCore& aCore)
+PeerLoads(const FleetCore& aCore)
 {
-  std::map<flows::FlowToken, flows::UpstreamLoad> sums;
-  for (const auto& [endpoint, loads] : aCore.mPeerLoads) {
-    for (const auto& load : loads) {
-      auto& sum = sums[load.mToken];
-      sum.mFeeds += load.mLoad.mFeeds;
-      sum.mAtWork += load.mLoad.mAtWork;
-    }
+  auto loads = SumLocalLoads(aCore);
+  for (const auto& [dataCentre, sum] : aCore.mSums) {
+    AddLoads(loads, sum.second);
   }
-  return sums;
+  return loads;
 }
 
 } // namespace sassafrasknot::fleet
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -20,6 +20,17 @@
   return selected;
 }
 
+/// The longest-running instance reads, so that a joining one changes nothing.
+bool
+ReadsBefore(const Member& aLeft, const Member& aRight)
+{
+  const auto order = [](const Member& aMember) {
+    return std::tuple(
+      aMember.mLeaving, aMember.mIncarnation, aMember.mEndpoint);
+  };
+  return order(aLeft) < order(aRight);
+}
+
 } // namespace
 
 bool
@@ -77,18 +88,30 @@
 std::size_t
 ReaderRank(const Peers& aPeers, state::TimePoint aNow)
 {
-  // The longest-running instance reads, so that a joining one changes nothing.
-  const auto order = [](const Member& aMember) {
-    return std::tuple(
-      aMember.mLeaving, aMember.mIncarnation, aMember.mEndpoint);
-  };
   const auto peers = LocalPeers(aPeers, aNow);
   return static_cast<std::size_t>(
     std::ranges::count_if(peers, [&](const Peer* aPeer) {
-      return order(aPeer->mMember) < order(aPeers.mSelf);
+      return ReadsBefore(aPeer->mMember, aPeers.mSelf);
     }));
 }
 
+std::vector<const Peer*>
+RemoteReaders(const Peers& aPeers, state::TimePoint aNow)
+{
+  std::map<state::DataCentreId, const Peer*> readers;
+  for (const auto* peer : RemotePeers(aPeers, aNow)) {
+    auto& reader = readers[peer->mMember.mDataCentre];
+    if (reader == nullptr || ReadsBefore(peer->mMember, reader->mMember)) {
+      reader = peer;
+    }
+  }
+  std::vector<const Peer*> result;
+  for (const auto& [dataCentre, reader] : readers) {
+    result.push_back(reader);
+  }
+  return result;
+}
+
 void
 ForgetDead(Peers& aPeers, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -22,7 +22,7 @@
     aRecord.mOwn.mFeeds += aSign;
   }
   if (aEntry.mAtWork) {
-    aRecord.mOwn.mAtWork += aSign;
+    aRecord.mAtWork += aSign;
   }
 }
 
@@ -288,6 +288,8 @@
 void
 OnTick(FlowRouter& aRouter, state::TimePoint aNow)
 {
+  AverageBusy(aRouter.mUpstreams, aNow - aRouter.mLastTick);
+  aRouter.mLastTick = aNow;
   const auto& configuration =
     aRouter.mDirectory ? aRouter.mDirectory->mConfiguration : nullptr;
   const state::Duration idle = configuration
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -1,5 +1,7 @@
 #include "sassafrasknot/flows/placement.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace sassafrasknot::flows {
@@ -11,23 +13,81 @@
   return aRecord.mPresence != Presence::Gone && !aRecord.mUpstream.mDraining;
 }
 
+/// Load of a whole service.
+struct ServiceLoad
+{
+  double mSlots = 0;
+  double mFeeds = 0;
+  double mBusy = 0;
+};
+
+double
+BusyOf(const UpstreamRecord& aRecord)
+{
+  return aRecord.mOwn.mBusy + aRecord.mPeers.mBusy;
+}
+
+double
+FeedsOf(const UpstreamRecord& aRecord)
+{
+  return aRecord.mOwn.mFeeds + aRecord.mPeers.mFeeds;
+}
+
+ServiceLoad
+SumLoad(std::span<UpstreamRecord* const> aUpstreams)
+{
+  ServiceLoad load;
+  for (const auto* record : aUpstreams) {
+    if (TakesFlows(*record)) {
+      load.mSlots += record->mUpstream.mSlots;
+      load.mFeeds += FeedsOf(*record);
+      load.mBusy += BusyOf(*record);
+    }
+  }
+  return load;
+}
+
+/// A feed loads its upstream for long. Its share of the feeds predicts the use
+/// of an upstream before the feeds' requests show it.
+double
+FeedCost(const UpstreamRecord& aRecord,
+         const ServiceLoad& aService,
+         const PlacementPolicy& aPolicy)
+{
+  const double slots = aRecord.mUpstream.mSlots;
+  const double meanFeeds = (aService.mFeeds + 1) / aService.mSlots;
+  const double share = FeedsOf(aRecord) / slots / meanFeeds;
+  const double predicted = share * aService.mBusy / aService.mSlots;
+  const double use = (BusyOf(aRecord) / slots + predicted) / 2;
+  return ExpectedWait(use, aRecord.mUpstream.mSlots) + aPolicy.mSpread * share;
+}
+
+/// A flow of one request cares for the requests that are ahead of it now.
+double
+RequestCost(const UpstreamRecord& aRecord)
+{
+  return (aRecord.mAtWork + aRecord.mPeers.mBusy) / aRecord.mUpstream.mSlots;
+}
+
 double
 Cost(const UpstreamRecord& aRecord,
+     const ServiceLoad& aService,
      const PlacementRequest& aRequest,
      const PlacementPolicy& aPolicy,
      state::TimePoint aNow)
 {
-  const double slots = aRecord.mUpstream.mSlots;
-  const double atWork = aRecord.mOwn.mAtWork + aRecord.mPeers.mAtWork;
-  const double feeds = aRecord.mOwn.mFeeds + aRecord.mPeers.mFeeds;
-  const bool isFeed = aRequest.mKind == RequestKind::Idempotent;
-  double cost = isFeed ? (feeds + aPolicy.mFeed * atWork) / slots
-                       : (atWork + aPolicy.mFeed * feeds) / slots;
-  cost += aRecord.mUpstream.mDataCentre == aRequest.mDataCentre
-            ? 0.0
-            : aPolicy.mRemote;
-  cost += aNow < aRecord.mWarm ? aPolicy.mCold : 0.0;
-  cost += aRecord.mPresence == Presence::Missing ? aPolicy.mMissing : 0.0;
+  double cost = aRequest.mKind == RequestKind::Idempotent
+                  ? FeedCost(aRecord, aService, aPolicy)
+                  : RequestCost(aRecord);
+  if (aRecord.mUpstream.mDataCentre != aRequest.mDataCentre) {
+    cost += aPolicy.mRemote;
+  }
+  if (aNow < aRecord.mWarm) {
+    cost += aPolicy.mCold;
+  }
+  if (aRecord.mPresence == Presence::Missing) {
+    cost += aPolicy.mMissing;
+  }
   return cost;
 }
 
@@ -52,6 +112,25 @@
 
 } // namespace
 
+double
+ExpectedWait(double aUse, std::uint32_t aSlots)
+{
+  // The approximation has a pole at full use. Beyond this use the wait goes on
+  // with the slope that it has there.
+  constexpr double kMostUse = 0.95;
+  const double slots = aSlots;
+  const auto wait = [slots](double aBelowPole) {
+    return std::pow(aBelowPole, std::sqrt(2 * (slots + 1))) /
+           (slots * (1 - aBelowPole));
+  };
+  if (aUse <= kMostUse) {
+    return wait(std::max(aUse, 0.0));
+  }
+  constexpr double kStep = 0.01;
+  const double slope = (wait(kMostUse) - wait(kMostUse - kStep)) / kStep;
+  return wait(kMostUse) + (aUse - kMostUse) * slope;
+}
+
 UpstreamRecord*
 ChooseUpstream(std::span<UpstreamRecord* const> aUpstreams,
                const PlacementRequest& aRequest,
@@ -59,6 +138,7 @@
                std::minstd_rand& aRandom,
                state::TimePoint aNow)
 {
+  const auto service = SumLoad(aUpstreams);
   UpstreamRecord* best = nullptr;
   auto bestFitness = Fitness::Avoided;
   double bestCost = std::numeric_limits<double>::max();
@@ -68,7 +148,7 @@
       continue;
     }
     const auto fitness = FitnessOf(*record, aRequest, aNow);
-    const double cost = Cost(*record, aRequest, aPolicy, aNow);
+    const double cost = Cost(*record, service, aRequest, aPolicy, aNow);
     if (best != nullptr &&
         (fitness > bestFitness ||
          (fitness == bestFitness && cost > bestCost))) {
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/flows/upstream_table.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <unordered_set>
 
@@ -32,7 +33,8 @@
                      aRecord.mUpstream.mStarted != upstream.mStarted;
   if (isNew) {
     // The flow table still counts its flows there.
-    aRecord = UpstreamRecord{ .mOwn = aRecord.mOwn };
+    aRecord =
+      UpstreamRecord{ .mOwn = aRecord.mOwn, .mAtWork = aRecord.mAtWork };
   }
   if (isNew || aRecord.mUpstream.mWarmUpLeft != upstream.mWarmUpLeft) {
     aRecord.mWarm = aNow + upstream.mWarmUpLeft;
@@ -76,6 +78,16 @@
   }
 }
 
+void
+AverageBusy(UpstreamTable& aTable, state::Duration aElapsed)
+{
+  const double weight =
+    std::min(1.0, std::chrono::duration<double>(aElapsed) / kBusyAverage);
+  for (auto& [token, record] : aTable.mByToken) {
+    record.mOwn.mBusy += weight * (record.mAtWork - record.mOwn.mBusy);
+  }
+}
+
 UpstreamRecord*
 FindUpstream(UpstreamTable& aTable, FlowToken aToken)
 {
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <limits>
 
 #include "generated/fleet.pb.h"
@@ -81,17 +82,31 @@
   return changes;
 }
 
+/// Parts of a request in which mean numbers are sent.
+constexpr double kBusyUnits = 16;
+
+void
+ToWire(const std::vector<fleet::TokenLoad>& aLoads, WireLoads& aWire)
+{
+  for (const auto& load : aLoads) {
+    aWire.add_tokens(load.mToken);
+    aWire.add_feeds(load.mLoad.mFeeds);
+    aWire.add_busy(static_cast<std::uint32_t>(
+      std::lround(std::max(0.0, load.mLoad.mBusy) * kBusyUnits)));
+  }
+}
+
 state::Result<std::vector<fleet::TokenLoad>>
 FromWire(const WireLoads& aWire)
 {
   if (aWire.feeds_size() != aWire.tokens_size() ||
-      aWire.at_work_size() != aWire.tokens_size()) {
+      aWire.busy_size() != aWire.tokens_size()) {
     return Malformed("fleet message: lists of loads differ in length");
   }
   std::vector<fleet::TokenLoad> loads;
   for (int index = 0; index < aWire.tokens_size(); ++index) {
     loads.push_back({ aWire.tokens(index),
-                      { aWire.feeds(index), aWire.at_work(index) } });
+                      { aWire.feeds(index), aWire.busy(index) / kBusyUnits } });
   }
   return loads;
 }
@@ -114,12 +129,13 @@
     member.set_age_ms(ToMilliseconds(told.mAge));
   }
   if (aMessage.mLoads) {
-    auto& loads = *wire.mutable_loads();
-    for (const auto& load : *aMessage.mLoads) {
-      loads.add_tokens(load.mToken);
-      loads.add_feeds(load.mLoad.mFeeds);
-      loads.add_at_work(load.mLoad.mAtWork);
-    }
+    ToWire(*aMessage.mLoads, *wire.mutable_loads());
+  }
+  for (const auto& sum : aMessage.mSums) {
+    auto& wireSum = *wire.add_sums();
+    wireSum.set_data_centre(sum.mDataCentre.mValue);
+    wireSum.set_age_ms(ToMilliseconds(sum.mAge));
+    ToWire(sum.mLoads, *wireSum.mutable_loads());
   }
   for (const auto token : aMessage.mSilent) {
     wire.add_silent(token);
@@ -162,6 +178,15 @@
     }
     message.mLoads = std::move(loads).value();
   }
+  for (const auto& sum : wire.sums()) {
+    auto loads = FromWire(sum.loads());
+    if (!loads) {
+      return loads.error();
+    }
+    message.mSums.push_back({ { sum.data_centre() },
+                              milliseconds(sum.age_ms()),
+                              std::move(loads).value() });
+  }
   message.mSilent.assign(wire.silent().begin(), wire.silent().end());
   if (wire.has_changes()) {
     message.mChanges = FromWire(wire.changes());
