Tell loads each 25 ms within a data centre

Cause: reports of 250 ms are older than the work they describe, so that confirmations queue behind feeds while slots are free elsewhere.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -19,15 +19,18 @@
 /// @brief Periods and sizes of the messages between instances.
 struct FleetPolicy
 {
-  /// Messages with loads within a data centre.
-  std::chrono::milliseconds mLocalPeriod{ 250 };
+  /// Messages with loads within a data centre: shortest period, period per
+  /// peer, and longest one. Loads change within the work time of a request,
+  /// some 15 ms to 60 ms.
+  std::chrono::milliseconds mLocalPeriod{ 25 };
+  std::chrono::milliseconds mLocalPeriodPerPeer{ 10 };
+  std::chrono::milliseconds mLongestLocalPeriod{ 500 };
+  /// Messages to the seeds while no peer is known.
+  std::chrono::milliseconds mSeedPeriod{ 250 };
   /// Messages with the sums of loads between data centres.
-  std::chrono::milliseconds mSumPeriod{ 500 };
+  std::chrono::milliseconds mSumPeriod{ 200 };
   /// Messages with member lists.
   std::chrono::milliseconds mRemotePeriod{ 1000 };
-  /// Local peers that get one message each period; more would make the cost of
-  /// an instance grow with its data centre.
-  std::size_t mLocalFanOut = 4;
   /// Members told in one message.
   std::size_t mMembersTold = 24;
   /// Changes that are sent along, in bytes of their values; longer ones are
@@ -85,6 +88,7 @@
   StoreReader mReader;
   bool mPulling = false;
   state::TimePoint mNextLocal;
+  state::TimePoint mNextSeed;
   state::TimePoint mNextSum;
   state::TimePoint mNextRemote;
   /// This instance's loads and silent upstreams, for the next messages.
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -16,8 +16,10 @@
 struct PlacementPolicy
 {
   /// Another data centre costs latency, traffic between data centres, and the
-  /// flow if the data centres are cut off from each other.
-  double mRemote = 0.15;
+  /// flow if the data centres are cut off from each other. A feed stays for
+  /// long, so that its balance counts more.
+  double mRemoteFeed = 0.15;
+  double mRemoteRequest = 0.5;
   /// An upstream that is slow after its start.
   double mCold = 0.3;
   /// An upstream whose entry has lapsed.
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -19,8 +19,8 @@
 {
   /// Flows that stay open for many requests.
   std::uint32_t mFeeds = 0;
-  /// Requests that it works on or has queued, averaged over kBusyAverage.
-  double mBusy = 0;
+  /// Requests that it works on or has queued.
+  std::uint32_t mAtWork = 0;
 
   auto operator<=>(const UpstreamLoad&) const = default;
 };
@@ -38,14 +38,14 @@
   Silence mSilence;
   /// Load by this instance's flows.
   UpstreamLoad mOwn;
-  /// Requests of this instance's flows at this moment.
-  std::uint32_t mAtWork = 0;
   /// Load by other instances' flows, as they last told.
   UpstreamLoad mPeers;
+  /// All requests at work, averaged over kBusyAverage.
+  double mBusy = 0;
 };
 
 /// Time over which the number of requests at work is averaged: some ten
-/// requests long, and as short as the reports of other instances allow.
+/// requests long, and longer than the reports of other data centres are apart.
 constexpr std::chrono::milliseconds kBusyAverage{ 1000 };
 
 /// @brief All upstreams that packets may name, found by token or by service.
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 
 /// Period of the control thread.
-constexpr milliseconds kTick{ 50 };
+constexpr milliseconds kTick{ 25 };
 /// Pulls stay within a data centre or a region.
 constexpr milliseconds kPullTimeout{ 1000 };
 /// Path of the changes that an instance serves to others.
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -12,12 +12,10 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-/// Period in which opening packets without an answer are looked for; half the
-/// time within which an upstream answers.
-constexpr milliseconds kTick{ 50 };
-/// Ticks between reports to the control thread; a report belongs to each
-/// message within the data centre.
-constexpr unsigned kTicksPerReport = 4;
+/// Period in which opening packets without an answer are looked for and loads
+/// are reported to the control thread: the shortest period of messages within a
+/// data centre.
+constexpr milliseconds kTick{ 25 };
 /// Longest datagram of a caller: a header and 1,200 bytes of data, with room
 /// for headers of other lengths.
 constexpr std::size_t kLargestPacket = 2048;
@@ -148,9 +146,7 @@
   const auto now = Clock::now();
   flows::OnTick(mRouter, now);
   LogLivenessChanges();
-  if (++mTicks % kTicksPerReport == 0) {
-    Report(now);
-  }
+  Report(now);
 }
 
 void
@@ -240,8 +236,9 @@
   if (const auto* record = aDecision.mUpstream) {
     fields.emplace_back("upstream", record->mUpstream.mId);
     fields.emplace_back("data_centre", record->mUpstream.mDataCentre.mValue);
-    fields.emplace_back("own_at_work", std::to_string(record->mAtWork));
-    fields.emplace_back("peers_busy", std::to_string(record->mPeers.mBusy));
+    fields.emplace_back("own_at_work", std::to_string(record->mOwn.mAtWork));
+    fields.emplace_back("peers_at_work",
+                        std::to_string(record->mPeers.mAtWork));
   } else if (aPacket.mToken != flows::kNoToken) {
     fields.emplace_back("token", std::to_string(aPacket.mToken));
   }
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -81,7 +81,6 @@
   Reporter mReporter;
   flows::FlowRouter mRouter;
   state::TimePoint mLastPacket;
-  unsigned mTicks = 0;
   boost::asio::io_context mContext{ 1 };
   boost::asio::steady_timer mTimer{ mContext };
   std::shared_ptr<net::UdpSession> mSession;
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -61,7 +61,7 @@
   for (const auto& load : aLoads) {
     auto& sum = aSums[load.mToken];
     sum.mFeeds += load.mLoad.mFeeds;
-    sum.mBusy += load.mLoad.mBusy;
+    sum.mAtWork += load.mLoad.mAtWork;
   }
 }
 
@@ -102,11 +102,20 @@
       message.mSums.push_back({ dataCentre, aNow - sum.first, sum.second });
     }
   }
-  Send(aActions,
-       std::move(message),
-       Sample(LocalPeers(aCore.mPeers, aNow),
-              aCore.mSettings.mPolicy.mLocalFanOut,
-              aCore.mRandom));
+  Send(aActions, std::move(message), LocalPeers(aCore.mPeers, aNow));
+}
+
+/// All peers of a data centre get each message. Its period grows with their
+/// number, so that an instance's messages per second stay bounded.
+state::Duration
+LocalPeriod(const FleetCore& aCore, state::TimePoint aNow)
+{
+  const auto& policy = aCore.mSettings.mPolicy;
+  const auto peers =
+    static_cast<std::int64_t>(LocalPeers(aCore.mPeers, aNow).size());
+  return std::clamp<state::Duration>(peers * policy.mLocalPeriodPerPeer,
+                                     policy.mLocalPeriod,
+                                     policy.mLongestLocalPeriod);
 }
 
 /// Tells the first reader of each other data centre the loads of this one.
@@ -191,8 +200,11 @@
   FleetActions actions;
   const auto& policy = aCore.mSettings.mPolicy;
   if (aNow >= aCore.mNextLocal) {
-    aCore.mNextLocal = aNow + policy.mLocalPeriod;
+    aCore.mNextLocal = aNow + LocalPeriod(aCore, aNow);
     SendLocal(aCore, actions, aNow);
+  }
+  if (aNow >= aCore.mNextSeed) {
+    aCore.mNextSeed = aNow + policy.mSeedPeriod;
     const bool isAlone = LocalPeers(aCore.mPeers, aNow).empty() &&
                          RemotePeers(aCore.mPeers, aNow).empty();
     if (isAlone) {
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -22,7 +22,7 @@
     aRecord.mOwn.mFeeds += aSign;
   }
   if (aEntry.mAtWork) {
-    aRecord.mAtWork += aSign;
+    aRecord.mOwn.mAtWork += aSign;
   }
 }
 
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -21,12 +21,6 @@
   double mBusy = 0;
 };
 
-double
-BusyOf(const UpstreamRecord& aRecord)
-{
-  return aRecord.mOwn.mBusy + aRecord.mPeers.mBusy;
-}
-
 double
 FeedsOf(const UpstreamRecord& aRecord)
 {
@@ -41,7 +35,7 @@
     if (TakesFlows(*record)) {
       load.mSlots += record->mUpstream.mSlots;
       load.mFeeds += FeedsOf(*record);
-      load.mBusy += BusyOf(*record);
+      load.mBusy += record->mBusy;
     }
   }
   return load;
@@ -58,7 +52,7 @@
   const double meanFeeds = (aService.mFeeds + 1) / aService.mSlots;
   const double share = FeedsOf(aRecord) / slots / meanFeeds;
   const double predicted = share * aService.mBusy / aService.mSlots;
-  const double use = (BusyOf(aRecord) / slots + predicted) / 2;
+  const double use = (aRecord.mBusy / slots + predicted) / 2;
   return ExpectedWait(use, aRecord.mUpstream.mSlots) + aPolicy.mSpread * share;
 }
 
@@ -66,7 +60,8 @@
 double
 RequestCost(const UpstreamRecord& aRecord)
 {
-  return (aRecord.mAtWork + aRecord.mPeers.mBusy) / aRecord.mUpstream.mSlots;
+  const double atWork = aRecord.mOwn.mAtWork + aRecord.mPeers.mAtWork;
+  return atWork / aRecord.mUpstream.mSlots;
 }
 
 double
@@ -76,11 +71,11 @@
      const PlacementPolicy& aPolicy,
      state::TimePoint aNow)
 {
-  double cost = aRequest.mKind == RequestKind::Idempotent
-                  ? FeedCost(aRecord, aService, aPolicy)
-                  : RequestCost(aRecord);
+  const bool isFeed = aRequest.mKind == RequestKind::Idempotent;
+  double cost = isFeed ? FeedCost(aRecord, aService, aPolicy)
+                       : RequestCost(aRecord);
   if (aRecord.mUpstream.mDataCentre != aRequest.mDataCentre) {
-    cost += aPolicy.mRemote;
+    cost += isFeed ? aPolicy.mRemoteFeed : aPolicy.mRemoteRequest;
   }
   if (aNow < aRecord.mWarm) {
     cost += aPolicy.mCold;
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -33,8 +33,7 @@
                      aRecord.mUpstream.mStarted != upstream.mStarted;
   if (isNew) {
     // The flow table still counts its flows there.
-    aRecord =
-      UpstreamRecord{ .mOwn = aRecord.mOwn, .mAtWork = aRecord.mAtWork };
+    aRecord = UpstreamRecord{ .mOwn = aRecord.mOwn };
   }
   if (isNew || aRecord.mUpstream.mWarmUpLeft != upstream.mWarmUpLeft) {
     aRecord.mWarm = aNow + upstream.mWarmUpLeft;
@@ -84,7 +83,8 @@
   const double weight =
     std::min(1.0, std::chrono::duration<double>(aElapsed) / kBusyAverage);
   for (auto& [token, record] : aTable.mByToken) {
-    record.mOwn.mBusy += weight * (record.mAtWork - record.mOwn.mBusy);
+    const double atWork = record.mOwn.mAtWork + record.mPeers.mAtWork;
+    record.mBusy += weight * (atWork - record.mBusy);
   }
 }
 
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <limits>
 
 #include "generated/fleet.pb.h"
@@ -82,17 +81,13 @@
   return changes;
 }
 
-/// Parts of a request in which mean numbers are sent.
-constexpr double kBusyUnits = 16;
-
 void
 ToWire(const std::vector<fleet::TokenLoad>& aLoads, WireLoads& aWire)
 {
   for (const auto& load : aLoads) {
     aWire.add_tokens(load.mToken);
     aWire.add_feeds(load.mLoad.mFeeds);
-    aWire.add_busy(static_cast<std::uint32_t>(
-      std::lround(std::max(0.0, load.mLoad.mBusy) * kBusyUnits)));
+    aWire.add_at_work(load.mLoad.mAtWork);
   }
 }
 
@@ -100,13 +95,13 @@
 FromWire(const WireLoads& aWire)
 {
   if (aWire.feeds_size() != aWire.tokens_size() ||
-      aWire.busy_size() != aWire.tokens_size()) {
+      aWire.at_work_size() != aWire.tokens_size()) {
     return Malformed("fleet message: lists of loads differ in length");
   }
   std::vector<fleet::TokenLoad> loads;
   for (int index = 0; index < aWire.tokens_size(); ++index) {
     loads.push_back({ aWire.tokens(index),
-                      { aWire.feeds(index), aWire.busy(index) / kBusyUnits } });
+                      { aWire.feeds(index), aWire.at_work(index) } });
   }
   return loads;
 }
