Date signs of life by the packet that they answer and find cut data centres

Cause: answers to earlier requests arrive after a cut, so that upstreams behind it counted as alive; each upstream was found silent on its own, in 0.3 to 1 s. Change: a sign proves life at the time its packet was sent on; three upstreams of another data centre without a sign make all of it silent; unanswered idempotent requests are given up at once.

--- /dev/null
+++ b/include/sassafrasknot/flows/data_centre_silence.hpp
@@ -0,0 +1,27 @@
+#ifndef SASSAFRASKNOT_FLOWS_DATA_CENTRE_SILENCE_HPP
+#define SASSAFRASKNOT_FLOWS_DATA_CENTRE_SILENCE_HPP
+
+#include "sassafrasknot/flows/upstream_table.hpp"
+#include "sassafrasknot/state/identifiers.hpp"
+
+#include <cstdint>
+
+namespace sassafrasknot::flows {
+
+/// Upstreams of another data centre with a repeated packet, and none with an
+/// answer to a later one, that show that the data centre is cut off. Two may
+/// have crashed.
+constexpr std::uint32_t kCutAfterUpstreams = 3;
+
+/// @brief Returns whether no upstream of a data centre answers: the pattern of
+/// a cut between data centres, which shows at several upstreams at once long
+/// before it shows at each of them.
+/// @param aTable the upstreams
+/// @param aDataCentre another data centre
+/// @return whether it is to be taken as cut off
+bool
+IsCutOff(const UpstreamTable& aTable, const state::DataCentreId& aDataCentre);
+
+} // namespace sassafrasknot::flows
+
+#endif
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -42,6 +42,8 @@
 {
   /// The upstream has answered since the last packet.
   bool mAnswered = false;
+  /// When the packet was sent on that the upstream has answered.
+  state::TimePoint mAnsweredSent;
   /// A new request starts.
   bool mRequest = false;
   /// Payload that ends where earlier payload did, or before. Packets may also
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -78,6 +78,14 @@
   Liveness mLiveness = Liveness::Answers;
 };
 
+/// @brief A flow that is given up although its caller has sent nothing new.
+struct GivenUpFlow
+{
+  /// Names the flow; without payload.
+  CallerPacket mLastPacket;
+  FlowToken mToken = kNoToken;
+};
+
 /// @brief Decides on callers' packets by the directory, the packets' tokens and
 /// what it has seen. Not safe for use from several threads.
 struct FlowRouter
@@ -89,6 +97,8 @@
   std::unordered_map<state::FlowKey, FlowEntry> mFlows;
   /// Changes since they were last taken.
   std::vector<LivenessChange> mLivenessChanges;
+  /// Upstreams whose silence has just been found.
+  std::vector<FlowToken> mNewlySilent;
   state::TimePoint mLastTick;
 };
 
@@ -117,6 +127,14 @@
          const CallerPacket& aPacket,
          state::TimePoint aNow);
 
+/// @brief Gives up the idempotent requests that newly silent upstreams have not
+/// answered, so that their callers try again at once. To be called after each
+/// event.
+/// @param aRouter the router
+/// @return flows whose callers are to get a reset
+std::vector<GivenUpFlow>
+TakeGivenUp(FlowRouter& aRouter);
+
 /// @brief Takes upstreams that other instances have found silent.
 /// @param aRouter the router
 /// @param aTokens the upstreams
--- a/include/sassafrasknot/flows/silence.hpp
+++ b/include/sassafrasknot/flows/silence.hpp
@@ -17,8 +17,9 @@
 /// Flows that did not come back to this instance and make an upstream
 /// suspected. They may have moved to another instance.
 constexpr std::uint32_t kSuspectedAfterUnseen = 2;
-/// How long the word of another instance counts; several of its messages.
-constexpr std::chrono::milliseconds kPeerWord{ 1000 };
+/// A sign of this age outweighs what other instances or other upstreams of the
+/// data centre tell; it covers the age of their news.
+constexpr std::chrono::milliseconds kFreshSign{ 300 };
 /// Pause until a suspected upstream is tried with one flow; doubles with each
 /// failed trial. Close to the callers' retransmission time of 200 ms.
 constexpr std::chrono::milliseconds kFirstTrial{ 500 };
@@ -39,25 +40,28 @@
 struct Silence
 {
   Liveness mLiveness = Liveness::Answers;
-  /// Last time at which a packet proved that the upstream answers.
+  /// When the newest packet was sent on that the upstream is known to have
+  /// answered. Answers to earlier packets may come later and prove less.
   state::TimePoint mLastSign;
-  /// Flows since then whose caller repeats a packet.
+  /// When the first of the packets was sent on that are counted as unanswered.
+  state::TimePoint mUnansweredSince;
+  /// Flows whose caller repeats a packet.
   std::uint32_t mRepeated = 0;
-  /// Flows since then whose caller did not come back.
+  /// Flows whose caller did not come back.
   std::uint32_t mUnseen = 0;
-  /// Until when another instance's word counts.
-  state::TimePoint mPeerWord;
+  /// Others tell that it is silent.
+  bool mTold = false;
   /// Next time at which a new flow tries it.
   state::TimePoint mNextTrial;
   std::chrono::milliseconds mTrialPause{ 0 };
 };
 
-/// @brief Notes a packet that proves that the upstream answers.
+/// @brief Notes that the upstream has answered a packet.
 /// @param aSilence the upstream's signs
-/// @param aNow the time
+/// @param aSent when the packet was sent on
 /// @return whether its liveness changed
 bool
-NoteSign(Silence& aSilence, state::TimePoint aNow);
+NoteSign(Silence& aSilence, state::TimePoint aSent);
 
 /// @brief Notes that a caller repeats a packet that was sent on at least
 /// kAnswerTime ago.
@@ -78,12 +82,13 @@
 bool
 NoteUnseen(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow);
 
-/// @brief Notes that another instance has found the upstream silent.
+/// @brief Notes that another instance has found the upstream silent, or that
+/// its whole data centre is. It counts unless this instance has a fresh sign.
 /// @param aSilence the upstream's signs
 /// @param aNow the time
 /// @return whether its liveness changed
 bool
-NotePeerWord(Silence& aSilence, state::TimePoint aNow);
+NoteSilent(Silence& aSilence, state::TimePoint aNow);
 
 /// @brief Returns whether a new flow may go there: always if it answers,
 /// otherwise once per trial.
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -125,6 +125,7 @@
 {
   boost::asio::post(mContext, [this, tokens = std::move(aTokens)] {
     flows::OnPeerSilence(mRouter, tokens, Clock::now());
+    HandleChanges();
   });
 }
 
@@ -145,7 +146,7 @@
 {
   const auto now = Clock::now();
   flows::OnTick(mRouter, now);
-  LogLivenessChanges();
+  HandleChanges();
   Report(now);
 }
 
@@ -157,7 +158,8 @@
     if (record.mOwn != flows::UpstreamLoad{}) {
       report.mLoads.push_back({ token, record.mOwn });
     }
-    if (record.mSilence.mRepeated >= flows::kSilentAfter) {
+    if (record.mSilence.mLiveness == flows::Liveness::Silent &&
+        !record.mSilence.mTold) {
       report.mSilent.push_back(token);
     }
   }
@@ -186,9 +188,7 @@
   if (IsLogged(packet.value(), decision)) {
     LogDecision(packet.value(), decision);
   }
-  if (!mRouter.mLivenessChanges.empty()) {
-    LogLivenessChanges();
-  }
+  HandleChanges();
 }
 
 void
@@ -220,6 +220,25 @@
   }
 }
 
+void
+TrafficLoop::HandleChanges()
+{
+  if (mRouter.mLivenessChanges.empty()) {
+    return;
+  }
+  LogLivenessChanges();
+  for (const auto& flow : flows::TakeGivenUp(mRouter)) {
+    const auto& packet = flow.mLastPacket;
+    const flows::Decision decision{ flows::Step::Reset,
+                                    flows::Reason::UpstreamSilent,
+                                    state::Verdict::MayHaveRun,
+                                    nullptr };
+    Count(mMetrics->mPackets[static_cast<std::size_t>(decision.mReason)]);
+    Execute(packet, decision, {});
+    LogDecision(packet, decision);
+  }
+}
+
 void
 TrafficLoop::LogDecision(const flows::CallerPacket& aPacket,
                          const flows::Decision& aDecision)
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -72,6 +72,7 @@
                std::span<std::uint8_t> aDatagram);
   void LogDecision(const flows::CallerPacket& aPacket,
                    const flows::Decision& aDecision);
+  void HandleChanges();
   void LogLivenessChanges();
 
   EdgeSettings mSettings;
--- /dev/null
+++ b/src/sassafrasknot/flows/data_centre_silence.cpp
@@ -0,0 +1,28 @@
+#include "sassafrasknot/flows/data_centre_silence.hpp"
+
+#include <algorithm>
+
+namespace sassafrasknot::flows {
+
+bool
+IsCutOff(const UpstreamTable& aTable, const state::DataCentreId& aDataCentre)
+{
+  std::uint32_t unanswered = 0;
+  auto firstUnanswered = state::TimePoint::max();
+  state::TimePoint lastSign;
+  for (const auto& [token, record] : aTable.mByToken) {
+    if (record.mUpstream.mDataCentre != aDataCentre ||
+        record.mPresence == Presence::Gone) {
+      continue;
+    }
+    lastSign = std::max(lastSign, record.mSilence.mLastSign);
+    if (record.mSilence.mRepeated > 0) {
+      ++unanswered;
+      firstUnanswered =
+        std::min(firstUnanswered, record.mSilence.mUnansweredSince);
+    }
+  }
+  return unanswered >= kCutAfterUpstreams && lastSign < firstUnanswered;
+}
+
+} // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -21,11 +21,13 @@
     aEntry.mNextSequence = aPacket.mSequence;
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
+    findings.mAnsweredSent = aEntry.mOpened;
     aEntry.mAtWork = false;
     aEntry.mSilenceNoted = false;
   } else if (IsAfter(aPacket.mAcknowledged, aEntry.mAcknowledged)) {
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
+    findings.mAnsweredSent = aEntry.mNewData;
     aEntry.mAtWork = false;
   }
   if (aPacket.mPayload > 0) {
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -1,5 +1,7 @@
 #include "sassafrasknot/flows/flow_router.hpp"
 
+#include "sassafrasknot/flows/data_centre_silence.hpp"
+
 #include <array>
 #include <chrono>
 #include <utility>
@@ -44,12 +46,73 @@
   }
 }
 
+/// Gives up the idempotent requests that a silent upstream has not answered, so
+/// that their callers try again without waiting for a retransmission.
+void
+GiveUpRequests(FlowRouter& aRouter,
+               const UpstreamRecord& aRecord,
+               std::vector<GivenUpFlow>& aGivenUp)
+{
+  for (auto it = aRouter.mFlows.begin(); it != aRouter.mFlows.end();) {
+    const auto& [key, entry] = *it;
+    const bool isUnanswered =
+      entry.mToken == aRecord.mToken && entry.mOpen && entry.mAtWork &&
+      entry.mKind == RequestKind::Idempotent &&
+      entry.mNewData > aRecord.mSilence.mLastSign;
+    if (!isUnanswered) {
+      ++it;
+      continue;
+    }
+    CallerPacket packet;
+    packet.mFlow = key;
+    packet.mAcknowledged = entry.mAcknowledged;
+    aGivenUp.push_back({ packet, entry.mToken });
+    Release(aRouter, entry);
+    it = aRouter.mFlows.erase(it);
+  }
+}
+
 void
 NoteChange(FlowRouter& aRouter, const UpstreamRecord& aRecord, bool aChanged)
 {
-  if (aChanged) {
-    aRouter.mLivenessChanges.push_back(
-      { aRecord.mToken, aRecord.mSilence.mLiveness });
+  if (!aChanged) {
+    return;
+  }
+  aRouter.mLivenessChanges.push_back(
+    { aRecord.mToken, aRecord.mSilence.mLiveness });
+  if (aRecord.mSilence.mLiveness == Liveness::Silent) {
+    aRouter.mNewlySilent.push_back(aRecord.mToken);
+  }
+}
+
+/// Spreads the silence of several upstreams to their whole data centre.
+void
+CheckDataCentre(FlowRouter& aRouter,
+                const state::DataCentreId& aDataCentre,
+                state::TimePoint aNow)
+{
+  if (aDataCentre == aRouter.mSettings.mDataCentre ||
+      !IsCutOff(aRouter.mUpstreams, aDataCentre)) {
+    return;
+  }
+  for (auto& [token, record] : aRouter.mUpstreams.mByToken) {
+    if (record.mUpstream.mDataCentre == aDataCentre &&
+        record.mPresence != Presence::Gone) {
+      NoteChange(aRouter, record, NoteSilent(record.mSilence, aNow));
+    }
+  }
+}
+
+void
+NoteRepetition(FlowRouter& aRouter,
+               UpstreamRecord& aRecord,
+               state::TimePoint aSent,
+               state::TimePoint aNow)
+{
+  const auto before = aRecord.mSilence.mRepeated;
+  NoteChange(aRouter, aRecord, NoteRepeated(aRecord.mSilence, aSent, aNow));
+  if (before == 0 && aRecord.mSilence.mRepeated > 0) {
+    CheckDataCentre(aRouter, aRecord.mUpstream.mDataCentre, aNow);
   }
 }
 
@@ -147,9 +210,7 @@
     return { Step::Forward, Reason::Repeated, state::Verdict::NotRun, record };
   }
   if (record != nullptr) {
-    NoteChange(aRouter,
-               *record,
-               NoteRepeated(record->mSilence, entry.mOpened, aNow));
+    NoteRepetition(aRouter, *record, entry.mOpened, aNow);
   }
   return Place(aRouter, aPacket, *route, entry.mToken, aNow);
 }
@@ -208,12 +269,11 @@
   }
   AddLoad(*record, entry, 1);
   if (findings.mAnswered) {
-    NoteChange(aRouter, *record, NoteSign(record->mSilence, aNow));
+    NoteChange(
+      aRouter, *record, NoteSign(record->mSilence, findings.mAnsweredSent));
   } else if (findings.mRepeated && entry.mAtWork && !entry.mSilenceNoted) {
     entry.mSilenceNoted = true;
-    NoteChange(aRouter,
-               *record,
-               NoteRepeated(record->mSilence, entry.mNewData, aNow));
+    NoteRepetition(aRouter, *record, entry.mNewData, aNow);
   }
   if (record->mSilence.mLiveness == Liveness::Silent && aPacket.mPayload > 0 &&
       entry.mKind == RequestKind::Idempotent) {
@@ -260,6 +320,20 @@
   UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
 }
 
+std::vector<GivenUpFlow>
+TakeGivenUp(FlowRouter& aRouter)
+{
+  std::vector<GivenUpFlow> givenUp;
+  for (const auto token : std::exchange(aRouter.mNewlySilent, {})) {
+    const auto* record = FindUpstream(aRouter.mUpstreams, token);
+    if (record != nullptr &&
+        record->mSilence.mLiveness == Liveness::Silent) {
+      GiveUpRequests(aRouter, *record, givenUp);
+    }
+  }
+  return givenUp;
+}
+
 Decision
 OnPacket(FlowRouter& aRouter,
          const CallerPacket& aPacket,
@@ -280,7 +354,7 @@
 {
   for (const auto token : aTokens) {
     if (auto* record = FindUpstream(aRouter.mUpstreams, token)) {
-      NoteChange(aRouter, *record, NotePeerWord(record->mSilence, aNow));
+      NoteChange(aRouter, *record, NoteSilent(record->mSilence, aNow));
     }
   }
 }
--- a/src/sassafrasknot/flows/silence.cpp
+++ b/src/sassafrasknot/flows/silence.cpp
@@ -6,15 +6,12 @@
 namespace {
 
 Liveness
-Judge(const Silence& aSilence, state::TimePoint aNow)
+Judge(const Silence& aSilence)
 {
-  const bool hasPeerWord = aNow < aSilence.mPeerWord;
-  if (aSilence.mRepeated >= kSilentAfter ||
-      (aSilence.mRepeated > 0 && hasPeerWord)) {
+  if (aSilence.mRepeated >= kSilentAfter || aSilence.mTold) {
     return Liveness::Silent;
   }
-  if (aSilence.mRepeated > 0 || aSilence.mUnseen >= kSuspectedAfterUnseen ||
-      hasPeerWord) {
+  if (aSilence.mRepeated > 0 || aSilence.mUnseen >= kSuspectedAfterUnseen) {
     return Liveness::Suspected;
   }
   return Liveness::Answers;
@@ -24,7 +21,7 @@
 bool
 Update(Silence& aSilence, state::TimePoint aNow)
 {
-  const auto judged = std::max(Judge(aSilence, aNow), aSilence.mLiveness);
+  const auto judged = std::max(Judge(aSilence), aSilence.mLiveness);
   if (judged == aSilence.mLiveness) {
     return false;
   }
@@ -36,15 +33,31 @@
   return true;
 }
 
+/// Takes an unanswered packet as evidence unless a later one was answered.
+bool
+IsEvidence(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow)
+{
+  if (aSent < aSilence.mLastSign || aNow - aSent < kAnswerTime) {
+    return false;
+  }
+  auto& since = aSilence.mUnansweredSince;
+  since = since == state::TimePoint{} ? aSent : std::min(since, aSent);
+  return true;
+}
+
 } // namespace
 
 bool
-NoteSign(Silence& aSilence, state::TimePoint aNow)
+NoteSign(Silence& aSilence, state::TimePoint aSent)
 {
-  aSilence.mLastSign = aNow;
+  aSilence.mLastSign = std::max(aSilence.mLastSign, aSent);
+  if (aSent <= aSilence.mUnansweredSince) {
+    return false;
+  }
   aSilence.mRepeated = 0;
   aSilence.mUnseen = 0;
-  aSilence.mPeerWord = {};
+  aSilence.mTold = false;
+  aSilence.mUnansweredSince = {};
   const bool isChanged = aSilence.mLiveness != Liveness::Answers;
   aSilence.mLiveness = Liveness::Answers;
   return isChanged;
@@ -53,7 +66,7 @@
 bool
 NoteRepeated(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow)
 {
-  if (aSent < aSilence.mLastSign || aNow - aSent < kAnswerTime) {
+  if (!IsEvidence(aSilence, aSent, aNow)) {
     return false;
   }
   ++aSilence.mRepeated;
@@ -63,7 +76,7 @@
 bool
 NoteUnseen(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow)
 {
-  if (aSent < aSilence.mLastSign || aNow - aSent < kAnswerTime) {
+  if (!IsEvidence(aSilence, aSent, aNow)) {
     return false;
   }
   ++aSilence.mUnseen;
@@ -71,14 +84,15 @@
 }
 
 bool
-NotePeerWord(Silence& aSilence, state::TimePoint aNow)
+NoteSilent(Silence& aSilence, state::TimePoint aNow)
 {
-  // What this instance has just seen itself counts more than a message that
-  // was sent before.
-  if (aNow - aSilence.mLastSign < kPeerWord / 2) {
+  if (aNow - aSilence.mLastSign < kFreshSign) {
     return false;
   }
-  aSilence.mPeerWord = aNow + kPeerWord;
+  aSilence.mTold = true;
+  if (aSilence.mUnansweredSince == state::TimePoint{}) {
+    aSilence.mUnansweredSince = aNow;
+  }
   return Update(aSilence, aNow);
 }
 
