Probe upstreams that do not answer instead of trying them with callers' flows

Cause: during a cut each instance tried each upstream every 0.5 to 2 s with a new flow, which lost 200 ms each time. Change: the first reader of a data centre probes for all of its instances.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -53,6 +53,8 @@
   std::atomic<std::uint64_t> mUnreadableRecords{ 0 };
   std::atomic<std::uint64_t> mFleetMessages{ 0 };
   std::atomic<std::uint64_t> mUnreadableMessages{ 0 };
+  std::atomic<std::uint64_t> mProbes{ 0 };
+  std::atomic<std::uint64_t> mProbeFailures{ 0 };
   std::atomic<std::uint64_t> mPulls{ 0 };
   std::atomic<std::uint64_t> mPullFailures{ 0 };
   LatencyHistogram mStoreCall;
--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -94,14 +94,17 @@
   /// This instance's loads and silent upstreams, for the next messages.
   std::vector<TokenLoad> mLoads;
   std::vector<flows::FlowToken> mSilent;
+  /// Upstreams that have answered a probe of this instance, and when it was
+  /// sent.
+  std::map<flows::FlowToken, state::TimePoint> mProven;
   /// Last loads of local peers.
   std::map<state::Endpoint, std::vector<TokenLoad>> mPeerLoads;
   /// Last sums of other data centres, with the time at which they were made.
   std::map<state::DataCentreId, std::pair<state::TimePoint, std::vector<TokenLoad>>>
     mSums;
-  /// Upstreams that peers have found silent since the last call of
-  /// TakePeerSilence.
+  /// Upstreams that peers have found silent or alive; for the owner to take.
   std::set<flows::FlowToken> mPeerSilence;
+  std::set<flows::FlowToken> mPeerProven;
 };
 
 /// @brief Makes a core that knows nothing.
--- a/include/sassafrasknot/fleet/fleet_message.hpp
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -57,6 +57,8 @@
   /// Upstreams that the sender has found silent; present in messages within a
   /// data centre, since a cut between data centres looks alike for all of one.
   std::vector<flows::FlowToken> mSilent;
+  /// Upstreams that have answered the sender's probes in the last second.
+  std::vector<flows::FlowToken> mProven;
   /// The newest changes, if they are short.
   std::optional<ChangeSet> mChanges;
 };
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -144,6 +144,13 @@
               const std::set<FlowToken>& aTokens,
               state::TimePoint aNow);
 
+/// @brief Takes an upstream's answer to a probe.
+/// @param aRouter the router
+/// @param aToken the upstream
+/// @param aSent when the probe was sent
+void
+OnProven(FlowRouter& aRouter, FlowToken aToken, state::TimePoint aSent);
+
 /// @brief Finds opening packets without an answer and forgets flows that have
 /// ended or moved to other instances. To be called several times a second.
 /// @param aRouter the router
--- a/include/sassafrasknot/flows/routing.hpp
+++ b/include/sassafrasknot/flows/routing.hpp
@@ -53,6 +53,8 @@
 {
   std::uint64_t mVersion = 0;
   std::map<state::Endpoint, Route> mRoutes;
+  /// Paths of the services' health checks.
+  std::map<std::string, std::string> mHealthPaths;
   /// Idle flows may be discarded after this time.
   std::chrono::milliseconds mIdleTimeout{ 0 };
 };
--- a/include/sassafrasknot/flows/silence.hpp
+++ b/include/sassafrasknot/flows/silence.hpp
@@ -20,12 +20,9 @@
 /// A sign of this age outweighs what other instances or other upstreams of the
 /// data centre tell; it covers the age of their news.
 constexpr std::chrono::milliseconds kFreshSign{ 300 };
-/// Pause until a suspected upstream is tried with one flow; doubles with each
-/// failed trial. Close to the callers' retransmission time of 200 ms.
-constexpr std::chrono::milliseconds kFirstTrial{ 500 };
-/// Longest pause between trials; an upstream that returns is used again within
-/// this time.
-constexpr std::chrono::milliseconds kLongestTrial{ 2000 };
+/// Pause between flows that try a suspected upstream although no probe has
+/// found it alive: several times the pause of probes.
+constexpr std::chrono::milliseconds kTrialPause{ 3000 };
 
 /// @brief What the missing answers of an upstream mean.
 enum class Liveness : std::uint8_t
@@ -53,7 +50,6 @@
   bool mTold = false;
   /// Next time at which a new flow tries it.
   state::TimePoint mNextTrial;
-  std::chrono::milliseconds mTrialPause{ 0 };
 };
 
 /// @brief Notes that the upstream has answered a packet.
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -4,6 +4,7 @@
 #include "sassafrasknot/net/http_call.hpp"
 #include "sassafrasknot/state/hashing.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <utility>
@@ -20,6 +21,11 @@
 constexpr milliseconds kTick{ 25 };
 /// Pulls stay within a data centre or a region.
 constexpr milliseconds kPullTimeout{ 1000 };
+/// A probe is answered within a few round trips, or when a request at work has
+/// ended.
+constexpr milliseconds kProbeTimeout{ 400 };
+/// Longest answer to a probe, in bytes.
+constexpr std::size_t kProbeAnswerBytes = 4096;
 /// Path of the changes that an instance serves to others.
 constexpr std::string_view kChangesPath = "/changes?after=";
 /// A stopping instance ends when it was out of rotation for this long: the
@@ -153,6 +159,10 @@
   if (auto silent = std::exchange(mCore.mPeerSilence, {}); !silent.empty()) {
     mTraffic.UsePeerSilence(std::move(silent));
   }
+  if (auto proven = std::exchange(mCore.mPeerProven, {}); !proven.empty()) {
+    mTraffic.UseProven(std::move(proven), now);
+  }
+  ProbeUpstreams(now);
   CheckStop(now);
   mLog->Flush();
 }
@@ -279,6 +289,56 @@
                 { "revision", std::to_string(mCore.mCatalogue.mRevision) } });
 }
 
+/// The first reader of a data centre probes for all of its instances, which
+/// have the same links to other data centres.
+void
+ControlLoop::ProbeUpstreams(state::TimePoint aNow)
+{
+  const auto& upstreams = mTrafficReport.mUnanswering;
+  if (upstreams.empty() || fleet::ReaderRank(mCore.mPeers, aNow) != 0) {
+    return;
+  }
+  std::vector<flows::FlowToken> tokens;
+  tokens.reserve(upstreams.size());
+  for (const auto& upstream : upstreams) {
+    tokens.push_back(flows::TokenOf(upstream.mId));
+  }
+  for (const auto token : fleet::NextProbes(mProbes, tokens, aNow)) {
+    const auto found = std::ranges::find(tokens, token);
+    StartProbe(upstreams[static_cast<std::size_t>(found - tokens.begin())]);
+  }
+}
+
+void
+ControlLoop::StartProbe(const flows::Upstream& aUpstream)
+{
+  const auto& paths = mBuilder.mConfiguration->mHealthPaths;
+  const auto path = paths.find(aUpstream.mService);
+  const auto token = flows::TokenOf(aUpstream.mId);
+  const auto sent = Clock::now();
+  Count(mMetrics->mProbes);
+  // Any answer proves that the upstream is reached; whether it calls itself
+  // healthy does not matter here.
+  net::StartGet(mContext.get_executor(),
+                { aUpstream.mAddress,
+                  path == paths.end() ? "/" : path->second,
+                  kProbeTimeout,
+                  kProbeTimeout,
+                  kProbeAnswerBytes },
+                [this, token, sent, id = aUpstream.mId](const auto& aAnswer) {
+                  fleet::NoteProbed(mProbes, token, Clock::now());
+                  if (!aAnswer) {
+                    Count(mMetrics->mProbeFailures);
+                    mLog->Write("probe_failed",
+                                { { "upstream", id },
+                                  { "reason", aAnswer.error().mMessage } });
+                    return;
+                  }
+                  mCore.mProven[token] = sent;
+                  mTraffic.UseProven({ token }, sent);
+                });
+}
+
 void
 ControlLoop::StartPull(const fleet::PullRequest& aPull)
 {
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -5,6 +5,7 @@
 #include "sassafrasknot/edge/metrics.hpp"
 #include "sassafrasknot/edge/settings.hpp"
 #include "sassafrasknot/fleet/fleet_core.hpp"
+#include "sassafrasknot/fleet/probe_schedule.hpp"
 #include "sassafrasknot/flows/directory_builder.hpp"
 #include "sassafrasknot/net/http_server.hpp"
 #include "sassafrasknot/net/structured_log.hpp"
@@ -47,6 +48,8 @@
   void ReloadSettings();
   void Execute(const fleet::FleetActions& aActions);
   void StartRead(const fleet::StoreRead& aRead);
+  void ProbeUpstreams(state::TimePoint aNow);
+  void StartProbe(const flows::Upstream& aUpstream);
   void StartPull(const fleet::PullRequest& aPull);
   void TakeChanged(const std::vector<std::string>& aKeys);
   void TakeRecord(const fleet::Record& aRecord);
@@ -72,6 +75,7 @@
   bool mStoreReachable = true;
   bool mSilenceNews = false;
   bool mLoadNews = false;
+  fleet::ProbeSchedule mProbes;
   std::optional<state::TimePoint> mStopping;
   TrafficReport mTrafficReport;
   boost::asio::io_context mContext{ 1 };
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -129,6 +129,18 @@
   });
 }
 
+void
+TrafficLoop::UseProven(std::set<flows::FlowToken> aTokens,
+                       state::TimePoint aSent)
+{
+  boost::asio::post(mContext, [this, tokens = std::move(aTokens), aSent] {
+    for (const auto token : tokens) {
+      flows::OnProven(mRouter, token, aSent);
+    }
+    HandleChanges();
+  });
+}
+
 void
 TrafficLoop::ScheduleTick()
 {
@@ -162,6 +174,10 @@
         !record.mSilence.mTold) {
       report.mSilent.push_back(token);
     }
+    if (record.mSilence.mLiveness != flows::Liveness::Answers &&
+        record.mPresence != flows::Presence::Gone) {
+      report.mUnanswering.push_back(record.mUpstream);
+    }
   }
   report.mFlows = mRouter.mFlows.size();
   report.mQuiet = aNow - mLastPacket;
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -31,6 +31,8 @@
   std::vector<fleet::TokenLoad> mLoads;
   /// Upstreams that this instance itself has found silent.
   std::vector<flows::FlowToken> mSilent;
+  /// All upstreams that are suspected or silent.
+  std::vector<flows::Upstream> mUnanswering;
   std::size_t mFlows = 0;
   /// Time since a caller's last packet.
   state::Duration mQuiet{ 0 };
@@ -61,6 +63,8 @@
   void UseDirectory(std::shared_ptr<const flows::Directory> aDirectory);
   void UsePeerLoads(std::map<flows::FlowToken, flows::UpstreamLoad> aLoads);
   void UsePeerSilence(std::set<flows::FlowToken> aTokens);
+  /// Upstreams that answer a probe sent at aSent.
+  void UseProven(std::set<flows::FlowToken> aTokens, state::TimePoint aSent);
 
 private:
   void ScheduleTick();
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -6,6 +6,10 @@
 namespace sassafrasknot::fleet {
 namespace {
 
+/// How long an answer to a probe is told: a few periods of messages, so that
+/// one may be lost, and less than the pause between probes.
+constexpr std::chrono::milliseconds kProvenTold{ 500 };
+
 std::size_t
 ValueBytes(const ChangeSet& aChanges)
 {
@@ -97,6 +101,12 @@
   auto message = ComposeMessage(aCore, aNow);
   message.mLoads = aCore.mLoads;
   message.mSilent = aCore.mSilent;
+  std::erase_if(aCore.mProven, [&](const auto& aItem) {
+    return aNow - aItem.second > kProvenTold;
+  });
+  for (const auto& [token, sent] : aCore.mProven) {
+    message.mProven.push_back(token);
+  }
   if (ReaderRank(aCore.mPeers, aNow) == 0) {
     for (const auto& [dataCentre, sum] : aCore.mSums) {
       message.mSums.push_back({ dataCentre, aNow - sum.first, sum.second });
@@ -265,6 +275,7 @@
       }
     }
   }
+  aCore.mPeerProven.insert(aMessage.mProven.begin(), aMessage.mProven.end());
   aCore.mPeerSilence.insert(aMessage.mSilent.begin(), aMessage.mSilent.end());
   if (aMessage.mChanges) {
     TakeChanges(aCore, actions, *aMessage.mChanges);
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -229,7 +229,10 @@
     entry = {};
   }
   if (entry.mToken == kNoToken) {
-    // The flow was placed by another instance.
+    // The flow was placed by another instance, some time ago.
+    entry.mOpen = true;
+    entry.mNextSequence = aPacket.mSequence;
+    entry.mAcknowledged = aPacket.mAcknowledged;
     entry.mToken = aRecord.mToken;
     entry.mKind = aRoute.mKind;
     entry.mTimeout = aRoute.mTimeout;
@@ -359,6 +362,14 @@
   }
 }
 
+void
+OnProven(FlowRouter& aRouter, FlowToken aToken, state::TimePoint aSent)
+{
+  if (auto* record = FindUpstream(aRouter.mUpstreams, aToken)) {
+    NoteChange(aRouter, *record, NoteSign(record->mSilence, aSent));
+  }
+}
+
 void
 OnTick(FlowRouter& aRouter, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/silence.cpp
+++ b/src/sassafrasknot/flows/silence.cpp
@@ -26,8 +26,7 @@
     return false;
   }
   if (aSilence.mLiveness == Liveness::Answers) {
-    aSilence.mTrialPause = kFirstTrial;
-    aSilence.mNextTrial = aNow + kFirstTrial;
+    aSilence.mNextTrial = aNow + kTrialPause;
   }
   aSilence.mLiveness = judged;
   return true;
@@ -106,11 +105,9 @@
 void
 NoteTrial(Silence& aSilence, state::TimePoint aNow)
 {
-  if (aSilence.mLiveness == Liveness::Answers) {
-    return;
+  if (aSilence.mLiveness != Liveness::Answers) {
+    aSilence.mNextTrial = aNow + kTrialPause;
   }
-  aSilence.mTrialPause = std::min(2 * aSilence.mTrialPause, kLongestTrial);
-  aSilence.mNextTrial = aNow + aSilence.mTrialPause;
 }
 
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -135,6 +135,9 @@
   for (const auto token : aMessage.mSilent) {
     wire.add_silent(token);
   }
+  for (const auto token : aMessage.mProven) {
+    wire.add_proven(token);
+  }
   if (aMessage.mChanges) {
     ToWire(*aMessage.mChanges, *wire.mutable_changes());
   }
@@ -183,6 +186,7 @@
                               std::move(loads).value() });
   }
   message.mSilent.assign(wire.silent().begin(), wire.silent().end());
+  message.mProven.assign(wire.proven().begin(), wire.proven().end());
   if (wire.has_changes()) {
     message.mChanges = FromWire(wire.changes());
   }
