Hold packets until the first directory and start with one read

Cause: after a restart of everything, packets that came within the first 100 ms were dropped and repeated 200 to 400 ms later; a stale read and its confirming watch took two round trips and cost more than one exact read.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -45,6 +45,7 @@
   std::array<std::atomic<std::uint64_t>, flows::kReasons> mPackets{};
   std::atomic<std::uint64_t> mMalformedPackets{ 0 };
   std::atomic<std::uint64_t> mUnsentPackets{ 0 };
+  std::atomic<std::uint64_t> mUnheldPackets{ 0 };
   std::atomic<std::uint64_t> mSilencesBegun{ 0 };
   std::atomic<std::uint64_t> mSilencesEnded{ 0 };
   std::atomic<std::uint64_t> mOpenFlows{ 0 };
--- a/include/sassafrasknot/fleet/store_reader.hpp
+++ b/include/sassafrasknot/fleet/store_reader.hpp
@@ -17,8 +17,6 @@
 {
   /// Reads all items; otherwise waits for changes after mAfter.
   bool mFull = false;
-  /// A full read may be answered with an older state, which is cheaper.
-  bool mMayBeStale = false;
   state::Revision mAfter = 0;
   /// How long the platform may hold the call.
   std::chrono::milliseconds mWait{ 0 };
@@ -60,8 +58,6 @@
   ReaderPauses mPauses;
   bool mOutstanding = false;
   bool mNeedsFull = true;
-  /// A stale full read is enough, since a watch follows it.
-  bool mMayBeStale = true;
   state::TimePoint mNext;
   std::uint32_t mFailures = 0;
   /// Latest time at which the known revision was the platform's.
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -57,6 +57,7 @@
 {
   Forward, ///< To the upstream.
   Reset,   ///< The caller gets a reset.
+  Hold,    ///< To be decided on again once a directory is known.
   Discard,
 };
 
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -428,8 +428,6 @@
 void
 ControlLoop::PublishDirectory()
 {
-  // A first answer may be older than the platform's state; the read that
-  // follows at once confirms it.
   if (!mDirectoryDue || !mCore.mReader.mEverConfirmed ||
       !mBuilder.mConfiguration) {
     return;
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -22,6 +22,9 @@
 /// Bytes of the socket's receive buffer; datagrams count against the
 /// instance's memory.
 constexpr std::size_t kReceiveBuffer = std::size_t{ 1 } << 20U;
+/// Packets that are held until the first directory is there, about 100 ms after
+/// the start; callers repeat further ones.
+constexpr std::size_t kHeldPackets = 512;
 /// One flow in this many is logged from its first to its last packet.
 constexpr std::uint64_t kLogOneFlowIn = 8;
 
@@ -37,6 +40,7 @@
   using flows::Reason;
   switch (aDecision.mReason) {
     case Reason::Established:
+    case Reason::NotReady:
       return false;
     case Reason::Placed:
       return state::Hash(aPacket.mFlow) % kLogOneFlowIn == 0;
@@ -104,6 +108,7 @@
   boost::asio::post(
     mContext, [this, directory = std::move(aDirectory)]() mutable {
       flows::OnDirectory(mRouter, std::move(directory), Clock::now());
+      ReleaseHeld();
     });
 }
 
@@ -227,6 +232,9 @@
       isSent = mSession->Send(caller, mFormat.mMakeReset(aPacket));
       break;
     }
+    case flows::Step::Hold:
+      Hold(aDatagram);
+      break;
     case flows::Step::Discard:
       break;
   }
@@ -236,6 +244,24 @@
   }
 }
 
+void
+TrafficLoop::Hold(std::span<const std::uint8_t> aDatagram)
+{
+  if (mHeld.size() < kHeldPackets) {
+    mHeld.emplace_back(aDatagram.begin(), aDatagram.end());
+  } else {
+    Count(mMetrics->mUnheldPackets);
+  }
+}
+
+void
+TrafficLoop::ReleaseHeld()
+{
+  for (auto& datagram : std::exchange(mHeld, {})) {
+    OnDatagram(datagram);
+  }
+}
+
 void
 TrafficLoop::HandleChanges()
 {
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -71,6 +71,8 @@
   void Tick();
   void Report(state::TimePoint aNow);
   void OnDatagram(std::span<std::uint8_t> aDatagram);
+  void Hold(std::span<const std::uint8_t> aDatagram);
+  void ReleaseHeld();
   void Execute(const flows::CallerPacket& aPacket,
                const flows::Decision& aDecision,
                std::span<std::uint8_t> aDatagram);
@@ -86,6 +88,8 @@
   Reporter mReporter;
   flows::FlowRouter mRouter;
   state::TimePoint mLastPacket;
+  /// Packets that came before the first directory.
+  std::vector<std::vector<std::uint8_t>> mHeld;
   boost::asio::io_context mContext{ 1 };
   boost::asio::steady_timer mTimer{ mContext };
   std::shared_ptr<net::UdpSession> mSession;
--- a/src/sassafrasknot/fleet/store_reader.cpp
+++ b/src/sassafrasknot/fleet/store_reader.cpp
@@ -25,13 +25,11 @@
   }
   aReader.mOutstanding = true;
   if (isFull) {
-    return StoreRead{ true, aReader.mMayBeStale, 0, {} };
+    return StoreRead{ true, 0, {} };
   }
-  // The first watch answers at once, since it only confirms what was read.
-  const auto wait =
-    aReader.mEverConfirmed && aRank == 0 ? pauses.mWatch
-                                         : std::chrono::milliseconds(1);
-  return StoreRead{ false, false, aRevision, wait };
+  // An instance that reads for itself only wants to know what it lacks.
+  const auto wait = aRank == 0 ? pauses.mWatch : std::chrono::milliseconds(1);
+  return StoreRead{ false, aRevision, wait };
 }
 
 void
@@ -46,11 +44,8 @@
   if (aRead.mFull) {
     aReader.mNeedsFull = false;
   }
-  if (!aRead.mMayBeStale) {
-    aReader.mEverConfirmed = true;
-    aReader.mConfirmed = aNow;
-  }
-  aReader.mMayBeStale = false;
+  aReader.mEverConfirmed = true;
+  aReader.mConfirmed = aNow;
   if (aChanged && !aRead.mFull) {
     aReader.mNext = aNow + aReader.mPauses.mAfterChanges;
   }
@@ -65,7 +60,6 @@
   aReader.mOutstanding = false;
   if (aFailure == ReadFailure::HistoryLost) {
     aReader.mNeedsFull = true;
-    aReader.mMayBeStale = false;
     aReader.mNext = aNow;
     return;
   }
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -343,7 +343,7 @@
          state::TimePoint aNow)
 {
   if (!aRouter.mDirectory || !aRouter.mDirectory->mConfiguration) {
-    return Refuse(Step::Discard, Reason::NotReady, state::Verdict::NotRun);
+    return Refuse(Step::Hold, Reason::NotReady, state::Verdict::NotRun);
   }
   return aPacket.mKind == state::SegmentKind::Open
            ? OnOpen(aRouter, aPacket, aNow)
