Read the platform with one instance of the fleet

Cause: one reader per data centre pays for each; a dead or cut reader was replaced after 2.9 s and 3.5 s, close to the bound of 3 s on configurations. Change: speakers of data centres order themselves; a reader whose call fails says so, one that is not heard for 1 s is replaced; watches wait 1 s.

--- a/include/sassafrasknot/fleet/peers.hpp
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -24,6 +24,8 @@
   std::uint64_t mIncarnation = 0;
   /// It is about to stop and reads nothing for others.
   bool mLeaving = false;
+  /// Its last call to the platform failed.
+  bool mBlind = false;
 
   auto operator<=>(const Member&) const = default;
 };
@@ -48,6 +50,9 @@
 /// A member that nobody has heard for so long is taken for dead; three times
 /// the period of messages between data centres.
 constexpr std::chrono::milliseconds kDeadAfter{ 3500 };
+/// A reader that was not heard for so long is replaced: several periods of its
+/// messages, and a third of the platform's shortest bound on configurations.
+constexpr std::chrono::milliseconds kReaderTimeout{ 1000 };
 /// Members are forgotten after this time.
 constexpr std::chrono::seconds kForgetAfter{ 60 };
 
@@ -91,20 +96,28 @@
 std::vector<const Peer*>
 RemotePeers(const Peers& aPeers, state::TimePoint aNow);
 
-/// @brief Returns this instance's place in the order in which the instances of
-/// its data centre read the platform for the others.
+/// @brief Returns this instance's place in the order of the instances of its
+/// data centre. The first one speaks for the data centre.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return 0 for the speaker
+std::size_t
+LocalRank(const Peers& aPeers, state::TimePoint aNow);
+
+/// @brief Returns this instance's place in the order in which instances read
+/// the platform for the others: first the speakers of data centres.
 /// @param aPeers the peers
 /// @param aNow the time
 /// @return 0 for the reader
 std::size_t
 ReaderRank(const Peers& aPeers, state::TimePoint aNow);
 
-/// @brief Returns the first reader of each other data centre.
+/// @brief Returns the speaker of each other data centre.
 /// @param aPeers the peers
 /// @param aNow the time
 /// @return one live peer per data centre
 std::vector<const Peer*>
-RemoteReaders(const Peers& aPeers, state::TimePoint aNow);
+RemoteSpeakers(const Peers& aPeers, state::TimePoint aNow);
 
 /// @brief Forgets members that were not seen for long.
 /// @param aPeers the peers
--- a/include/sassafrasknot/fleet/store_reader.hpp
+++ b/include/sassafrasknot/fleet/store_reader.hpp
@@ -37,16 +37,21 @@
 struct ReaderPauses
 {
   /// How long a watch waits for a change. It bounds the time for which a
-  /// connection that has gone silent can hide changes, and is well below the
-  /// platform's bound on applying configurations.
-  std::chrono::milliseconds mWatch{ 2000 };
+  /// connection that has gone silent, or a cut between the reader and the
+  /// platform, can hide changes: with the time-out of the call and the change
+  /// to another reader half of the platform's shortest bound on applying
+  /// configurations (3 s).
+  std::chrono::milliseconds mWatch{ 1000 };
   /// After changes, so that those that follow come in one answer.
   std::chrono::milliseconds mAfterChanges{ 500 };
   /// An instance that is no reader reads once nothing has confirmed its state
   /// for this time: a watch and its pause, with a margin.
-  std::chrono::milliseconds mTakeOver{ 2900 };
-  /// Added per place in the order of readers.
-  std::chrono::milliseconds mTakeOverStep{ 150 };
+  std::chrono::milliseconds mTakeOver{ 2200 };
+  /// Added per place in the order of readers, up to a limit.
+  std::chrono::milliseconds mTakeOverStep{ 100 };
+  std::chrono::milliseconds mLongestTakeOver{ 4000 };
+  /// Pause after failures of an instance that is no reader.
+  std::chrono::milliseconds mTakeOverRetry{ 2000 };
   /// First and longest ceiling of the pause after failures.
   std::chrono::milliseconds mFirstRetry{ 100 };
   std::chrono::milliseconds mLongestRetry{ 800 };
@@ -57,6 +62,8 @@
 {
   ReaderPauses mPauses;
   bool mOutstanding = false;
+  /// The last call was made as the reader of others.
+  bool mIsFirst = false;
   bool mNeedsFull = true;
   state::TimePoint mNext;
   std::uint32_t mFailures = 0;
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -54,6 +54,7 @@
   settings.mSelf = { aSettings.mFleetEndpoint,
                      aSettings.mDataCentre,
                      UnixMilliseconds(),
+                     false,
                      false };
   settings.mSeeds = aSettings.mSeeds;
   settings.mSeed = static_cast<std::uint32_t>(state::CombineHashes(
@@ -289,13 +290,13 @@
                 { "revision", std::to_string(mCore.mCatalogue.mRevision) } });
 }
 
-/// The first reader of a data centre probes for all of its instances, which
+/// The speaker of a data centre probes for all of its instances, which
 /// have the same links to other data centres.
 void
 ControlLoop::ProbeUpstreams(state::TimePoint aNow)
 {
   const auto& upstreams = mTrafficReport.mUnanswering;
-  if (upstreams.empty() || fleet::ReaderRank(mCore.mPeers, aNow) != 0) {
+  if (upstreams.empty() || fleet::LocalRank(mCore.mPeers, aNow) != 0) {
     return;
   }
   std::vector<flows::FlowToken> tokens;
--- a/src/sassafrasknot/edge/store_client.hpp
+++ b/src/sassafrasknot/edge/store_client.hpp
@@ -23,7 +23,7 @@
   /// The store answers in milliseconds, and in some 300 ms when it is slow.
   std::chrono::milliseconds mConnectTimeout{ 400 };
   /// Added to the time for which a call may wait.
-  std::chrono::milliseconds mAnswerTimeout{ 1000 };
+  std::chrono::milliseconds mAnswerTimeout{ 600 };
   std::uint64_t mAnswerBytes = std::uint64_t{ 4 } << 20U;
 };
 
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -107,7 +107,7 @@
   for (const auto& [token, sent] : aCore.mProven) {
     message.mProven.push_back(token);
   }
-  if (ReaderRank(aCore.mPeers, aNow) == 0) {
+  if (LocalRank(aCore.mPeers, aNow) == 0) {
     for (const auto& [dataCentre, sum] : aCore.mSums) {
       message.mSums.push_back({ dataCentre, aNow - sum.first, sum.second });
     }
@@ -128,11 +128,11 @@
                                      policy.mLongestLocalPeriod);
 }
 
-/// Tells the first reader of each other data centre the loads of this one.
+/// Tells the speaker of each other data centre the loads of this one.
 void
 SendSum(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
 {
-  if (ReaderRank(aCore.mPeers, aNow) != 0) {
+  if (LocalRank(aCore.mPeers, aNow) != 0) {
     return;
   }
   auto sums = SumLocalLoads(aCore);
@@ -143,7 +143,7 @@
   }
   auto message = ComposeMessage(aCore, aNow);
   message.mSums.push_back(std::move(sum));
-  Send(aActions, std::move(message), RemoteReaders(aCore.mPeers, aNow));
+  Send(aActions, std::move(message), RemoteSpeakers(aCore.mPeers, aNow));
 }
 
 /// Sends members to one instance of another data centre and to one of this
@@ -167,11 +167,13 @@
   aActions.mSend.push_back({ ComposeMessage(aCore, aNow), std::move(seeds) });
 }
 
-/// Tells all local peers of changes that the platform has just published.
+/// Tells all local peers, and the speakers of other data centres, of changes
+/// that have just come from outside of this data centre.
 void
 SpreadChanges(FleetCore& aCore,
               FleetActions& aActions,
               state::Revision aBefore,
+              bool aFromStore,
               state::TimePoint aNow)
 {
   auto message = ComposeMessage(aCore, aNow);
@@ -180,7 +182,12 @@
       ValueBytes(changes) <= aCore.mSettings.mPolicy.mChangeBytes) {
     message.mChanges = std::move(changes);
   }
-  Send(aActions, std::move(message), LocalPeers(aCore.mPeers, aNow));
+  auto receivers = LocalPeers(aCore.mPeers, aNow);
+  if (aFromStore) {
+    std::ranges::copy(RemoteSpeakers(aCore.mPeers, aNow),
+                      std::back_inserter(receivers));
+  }
+  Send(aActions, std::move(message), receivers);
 }
 
 void
@@ -278,7 +285,14 @@
   aCore.mPeerProven.insert(aMessage.mProven.begin(), aMessage.mProven.end());
   aCore.mPeerSilence.insert(aMessage.mSilent.begin(), aMessage.mSilent.end());
   if (aMessage.mChanges) {
+    const auto before = aCore.mCatalogue.mRevision;
     TakeChanges(aCore, actions, *aMessage.mChanges);
+    const bool isRemote =
+      sender.mDataCentre != aCore.mPeers.mSelf.mDataCentre;
+    if (isRemote && !actions.mChanged.empty() && before != 0 &&
+        LocalRank(aCore.mPeers, aNow) == 0) {
+      SpreadChanges(aCore, actions, before, false, aNow);
+    }
   }
   const auto revision = aCore.mCatalogue.mRevision;
   if (aMessage.mRevision > revision && !aCore.mPulling) {
@@ -302,8 +316,9 @@
   const auto before = aCore.mCatalogue.mRevision;
   TakeChanges(aCore, actions, aChanges);
   NoteRead(aCore.mReader, aRead, !aChanges.mRecords.empty(), aNow);
+  aCore.mPeers.mSelf.mBlind = false;
   if (!actions.mChanged.empty() && before != 0) {
-    SpreadChanges(aCore, actions, before, aNow);
+    SpreadChanges(aCore, actions, before, true, aNow);
   }
   return actions;
 }
@@ -312,6 +327,9 @@
 OnStoreFailure(FleetCore& aCore, ReadFailure aFailure, state::TimePoint aNow)
 {
   NoteReadFailure(aCore.mReader, aFailure, aCore.mRandom, aNow);
+  if (aFailure != ReadFailure::HistoryLost) {
+    aCore.mPeers.mSelf.mBlind = true;
+  }
 }
 
 FleetActions
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -20,17 +20,27 @@
   return selected;
 }
 
-/// The longest-running instance reads, so that a joining one changes nothing.
+/// The longest-running instance comes first, so that a joining one changes
+/// nothing.
 bool
-ReadsBefore(const Member& aLeft, const Member& aRight)
+ComesBefore(const Member& aLeft, const Member& aRight)
 {
   const auto order = [](const Member& aMember) {
-    return std::tuple(
-      aMember.mLeaving, aMember.mIncarnation, aMember.mEndpoint);
+    return std::tuple(aMember.mLeaving,
+                      aMember.mBlind,
+                      aMember.mIncarnation,
+                      aMember.mEndpoint);
   };
   return order(aLeft) < order(aRight);
 }
 
+bool
+IsHeard(const Peer& aPeer, state::TimePoint aNow)
+{
+  return aPeer.mHeard != state::TimePoint{} &&
+         aNow - aPeer.mHeard < kReaderTimeout;
+}
+
 } // namespace
 
 bool
@@ -86,28 +96,45 @@
 }
 
 std::size_t
-ReaderRank(const Peers& aPeers, state::TimePoint aNow)
+LocalRank(const Peers& aPeers, state::TimePoint aNow)
 {
   const auto peers = LocalPeers(aPeers, aNow);
   return static_cast<std::size_t>(
     std::ranges::count_if(peers, [&](const Peer* aPeer) {
-      return ReadsBefore(aPeer->mMember, aPeers.mSelf);
+      return IsHeard(*aPeer, aNow) &&
+             ComesBefore(aPeer->mMember, aPeers.mSelf);
     }));
 }
 
+std::size_t
+ReaderRank(const Peers& aPeers, state::TimePoint aNow)
+{
+  const auto speakers = RemoteSpeakers(aPeers, aNow);
+  const auto before = std::ranges::count_if(speakers, [&](const Peer* aPeer) {
+    return IsHeard(*aPeer, aNow) && ComesBefore(aPeer->mMember, aPeers.mSelf);
+  });
+  return LocalRank(aPeers, aNow) + static_cast<std::size_t>(before);
+}
+
 std::vector<const Peer*>
-RemoteReaders(const Peers& aPeers, state::TimePoint aNow)
+RemoteSpeakers(const Peers& aPeers, state::TimePoint aNow)
 {
-  std::map<state::DataCentreId, const Peer*> readers;
+  std::map<state::DataCentreId, const Peer*> speakers;
   for (const auto* peer : RemotePeers(aPeers, aNow)) {
-    auto& reader = readers[peer->mMember.mDataCentre];
-    if (reader == nullptr || ReadsBefore(peer->mMember, reader->mMember)) {
-      reader = peer;
+    auto& speaker = speakers[peer->mMember.mDataCentre];
+    // Only speakers send often enough to be heard all the time.
+    const bool isBetter =
+      speaker == nullptr ||
+      (IsHeard(*peer, aNow) && !IsHeard(*speaker, aNow)) ||
+      (IsHeard(*peer, aNow) == IsHeard(*speaker, aNow) &&
+       ComesBefore(peer->mMember, speaker->mMember));
+    if (isBetter) {
+      speaker = peer;
     }
   }
   std::vector<const Peer*> result;
-  for (const auto& [dataCentre, reader] : readers) {
-    result.push_back(reader);
+  for (const auto& [dataCentre, speaker] : speakers) {
+    result.push_back(speaker);
   }
   return result;
 }
--- a/src/sassafrasknot/fleet/store_reader.cpp
+++ b/src/sassafrasknot/fleet/store_reader.cpp
@@ -16,14 +16,16 @@
   const bool isFull = aRevision == 0 || aReader.mNeedsFull;
   const auto& pauses = aReader.mPauses;
   const auto takeOver =
-    pauses.mTakeOver +
-    pauses.mTakeOverStep * static_cast<std::int64_t>(aRank);
+    std::min(pauses.mTakeOver +
+               pauses.mTakeOverStep * static_cast<std::int64_t>(aRank),
+             pauses.mLongestTakeOver);
   const bool isMine = aRank == 0 || !aReader.mEverConfirmed ||
                       aNow - aReader.mConfirmed > takeOver;
   if (!isMine) {
     return std::nullopt;
   }
   aReader.mOutstanding = true;
+  aReader.mIsFirst = aRank == 0;
   if (isFull) {
     return StoreRead{ true, 0, {} };
   }
@@ -66,9 +68,12 @@
   // The first retry comes soon, since most failures end with the connection.
   const auto doublings = std::min(aReader.mFailures, 8U);
   ++aReader.mFailures;
-  const auto ceiling =
+  auto ceiling =
     std::min(aReader.mPauses.mFirstRetry * (std::int64_t{ 1 } << doublings),
              aReader.mPauses.mLongestRetry);
+  if (!aReader.mIsFirst && aReader.mEverConfirmed) {
+    ceiling = std::max(ceiling, aReader.mPauses.mTakeOverRetry);
+  }
   std::uniform_int_distribution<std::int64_t> pause(ceiling.count() / 2,
                                                     ceiling.count());
   aReader.mNext = aNow + std::chrono::milliseconds(pause(aRandom));
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -34,6 +34,7 @@
   aWire.set_data_centre(aMember.mDataCentre.mValue);
   aWire.set_incarnation(aMember.mIncarnation);
   aWire.set_leaving(aMember.mLeaving);
+  aWire.set_blind(aMember.mBlind);
 }
 
 state::Result<fleet::Member>
@@ -48,7 +49,8 @@
     { { aWire.address() }, static_cast<std::uint16_t>(aWire.port()) },
     { aWire.data_centre() },
     aWire.incarnation(),
-    aWire.leaving()
+    aWire.leaving(),
+    aWire.blind()
   };
 }
 
