Send the newest record of a key only and prove the own side before giving up flows

Change: histories hold keys, answers to pulls are compressed, keys that changed are decoded once; an upstream is silent only if another one has answered a later packet, and packets from before a stall prove nothing.

--- a/include/sassafrasknot/fleet/catalogue.hpp
+++ b/include/sassafrasknot/fleet/catalogue.hpp
@@ -38,6 +38,13 @@
   std::vector<Record> mRecords;
 };
 
+/// @brief The key that changed at a revision.
+struct KeyChange
+{
+  std::string mKey;
+  state::Revision mRevision = 0;
+};
+
 /// @brief All published items as of one revision, with the newest changes.
 struct Catalogue
 {
@@ -45,7 +52,7 @@
   /// All changes up to this revision are known.
   state::Revision mRevision = 0;
   /// Newest changes in the order of their revisions, deletions included.
-  std::deque<Record> mHistory;
+  std::deque<KeyChange> mHistory;
   /// The history has all changes after this revision.
   state::Revision mHistoryAfter = 0;
 };
--- a/include/sassafrasknot/flows/data_centre_silence.hpp
+++ b/include/sassafrasknot/flows/data_centre_silence.hpp
@@ -18,9 +18,13 @@
 /// before it shows at each of them.
 /// @param aTable the upstreams
 /// @param aDataCentre another data centre
+/// @param aProof when the newest packet was sent on that any upstream has
+/// answered; without a later proof the fault may be on this instance's side
 /// @return whether it is to be taken as cut off
 bool
-IsCutOff(const UpstreamTable& aTable, const state::DataCentreId& aDataCentre);
+IsCutOff(const UpstreamTable& aTable,
+         const state::DataCentreId& aDataCentre,
+         state::TimePoint aProof);
 
 } // namespace sassafrasknot::flows
 
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -101,6 +101,10 @@
   /// Upstreams whose silence has just been found.
   std::vector<FlowToken> mNewlySilent;
   state::TimePoint mLastTick;
+  /// When the newest packet was sent on that any upstream has answered.
+  state::TimePoint mProof;
+  /// Packets that were sent on before are no evidence of silence.
+  state::TimePoint mEvidenceFrom;
 };
 
 /// @brief Makes a router without any directory.
--- a/include/sassafrasknot/flows/silence.hpp
+++ b/include/sassafrasknot/flows/silence.hpp
@@ -64,10 +64,16 @@
 /// @param aSilence the upstream's signs
 /// @param aSent when the packet was first sent on; a later sign of life makes
 /// it worthless
+/// @param aProof when the newest packet was sent on that any upstream has
+/// answered. Without a later proof the fault may be on this instance's side,
+/// and the upstream is suspected at most.
 /// @param aNow the time
 /// @return whether its liveness changed
 bool
-NoteRepeated(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow);
+NoteRepeated(Silence& aSilence,
+             state::TimePoint aSent,
+             state::TimePoint aProof,
+             state::TimePoint aNow);
 
 /// @brief Notes that a caller did not come back within kAnswerTime of its
 /// opening packet.
--- a/src/sassafrasknot/fleet/catalogue.cpp
+++ b/src/sassafrasknot/fleet/catalogue.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/fleet/catalogue.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace sassafrasknot::fleet {
 namespace {
@@ -8,7 +9,7 @@
 void
 Remember(Catalogue& aCatalogue, const Record& aRecord)
 {
-  aCatalogue.mHistory.push_back(aRecord);
+  aCatalogue.mHistory.push_back({ aRecord.mKey, aRecord.mRevision });
   while (aCatalogue.mHistory.size() > kHistoryLength) {
     aCatalogue.mHistoryAfter = aCatalogue.mHistory.front().mRevision;
     aCatalogue.mHistory.pop_front();
@@ -86,16 +87,16 @@
       return aRecord.mRevision > aCatalogue.mRevision;
     });
   std::ranges::sort(records, {}, &Record::mRevision);
-  std::vector<std::string> changed;
+  std::set<std::string> changed;
   for (const auto& record : records) {
     Remember(aCatalogue, record);
     if (IsNews(aCatalogue, record)) {
-      changed.push_back(record.mKey);
+      changed.insert(record.mKey);
       Store(aCatalogue, record);
     }
   }
   aCatalogue.mRevision = aChanges.mUpTo;
-  return changed;
+  return std::vector<std::string>(changed.begin(), changed.end());
 }
 
 ChangeSet
@@ -109,10 +110,20 @@
     }
     return changes;
   }
-  for (const auto& record : aCatalogue.mHistory) {
-    if (record.mRevision > aAfter) {
-      changes.mRecords.push_back(record);
+  // Only the newest change of a key matters to an instance that is behind.
+  std::set<std::string> seen;
+  for (auto it = aCatalogue.mHistory.rbegin();
+       it != aCatalogue.mHistory.rend() && it->mRevision > aAfter;
+       ++it) {
+    if (!seen.insert(it->mKey).second) {
+      continue;
     }
+    const auto found = aCatalogue.mRecords.find(it->mKey);
+    changes.mRecords.push_back(found != aCatalogue.mRecords.end()
+                                 ? found->second
+                                 : Record{ .mKey = it->mKey,
+                                           .mRevision = it->mRevision,
+                                           .mDeleted = true });
   }
   return changes;
 }
--- a/src/sassafrasknot/flows/data_centre_silence.cpp
+++ b/src/sassafrasknot/flows/data_centre_silence.cpp
@@ -5,7 +5,9 @@
 namespace sassafrasknot::flows {
 
 bool
-IsCutOff(const UpstreamTable& aTable, const state::DataCentreId& aDataCentre)
+IsCutOff(const UpstreamTable& aTable,
+         const state::DataCentreId& aDataCentre,
+         state::TimePoint aProof)
 {
   std::uint32_t unanswered = 0;
   auto firstUnanswered = state::TimePoint::max();
@@ -22,7 +24,8 @@
         std::min(firstUnanswered, record.mSilence.mUnansweredSince);
     }
   }
-  return unanswered >= kCutAfterUpstreams && lastSign < firstUnanswered;
+  return unanswered >= kCutAfterUpstreams && lastSign < firstUnanswered &&
+         aProof > firstUnanswered;
 }
 
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/flows/data_centre_silence.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <utility>
@@ -14,6 +15,9 @@
 /// Requests that last longer than this are taken to continue elsewhere, since
 /// no packet of the flow was seen for as long.
 constexpr milliseconds kWorkUnseen{ 2000 };
+/// A pause between ticks that shows that this instance itself was held up, and
+/// packets with it; several times the period of ticks.
+constexpr milliseconds kStall{ 100 };
 /// Entries of flows without packets are forgotten after this time.
 constexpr std::chrono::seconds kIdleDefault{ 15 };
 
@@ -92,7 +96,7 @@
                 state::TimePoint aNow)
 {
   if (aDataCentre == aRouter.mSettings.mDataCentre ||
-      !IsCutOff(aRouter.mUpstreams, aDataCentre)) {
+      !IsCutOff(aRouter.mUpstreams, aDataCentre, aRouter.mProof)) {
     return;
   }
   for (auto& [token, record] : aRouter.mUpstreams.mByToken) {
@@ -109,11 +113,13 @@
                state::TimePoint aSent,
                state::TimePoint aNow)
 {
-  const auto before = aRecord.mSilence.mRepeated;
-  NoteChange(aRouter, aRecord, NoteRepeated(aRecord.mSilence, aSent, aNow));
-  if (before == 0 && aRecord.mSilence.mRepeated > 0) {
-    CheckDataCentre(aRouter, aRecord.mUpstream.mDataCentre, aNow);
+  if (aSent < aRouter.mEvidenceFrom) {
+    return;
   }
+  NoteChange(aRouter,
+             aRecord,
+             NoteRepeated(aRecord.mSilence, aSent, aRouter.mProof, aNow));
+  CheckDataCentre(aRouter, aRecord.mUpstream.mDataCentre, aNow);
 }
 
 Decision
@@ -272,6 +278,7 @@
   }
   AddLoad(*record, entry, 1);
   if (findings.mAnswered) {
+    aRouter.mProof = std::max(aRouter.mProof, findings.mAnsweredSent);
     NoteChange(
       aRouter, *record, NoteSign(record->mSilence, findings.mAnsweredSent));
   } else if (findings.mRepeated && entry.mAtWork && !entry.mSilenceNoted) {
@@ -373,6 +380,9 @@
 void
 OnTick(FlowRouter& aRouter, state::TimePoint aNow)
 {
+  if (aNow - aRouter.mLastTick > kStall) {
+    aRouter.mEvidenceFrom = aNow;
+  }
   AverageBusy(aRouter.mUpstreams, aNow - aRouter.mLastTick);
   aRouter.mLastTick = aNow;
   const auto& configuration =
@@ -391,6 +401,7 @@
       continue;
     }
     if (!entry.mOpen && !entry.mSilenceNoted &&
+        entry.mOpened >= aRouter.mEvidenceFrom &&
         aNow - entry.mOpened >= kAnswerTime) {
       entry.mSilenceNoted = true;
       NoteChange(
--- a/src/sassafrasknot/flows/silence.cpp
+++ b/src/sassafrasknot/flows/silence.cpp
@@ -6,9 +6,10 @@
 namespace {
 
 Liveness
-Judge(const Silence& aSilence)
+Judge(const Silence& aSilence, state::TimePoint aProof)
 {
-  if (aSilence.mRepeated >= kSilentAfter || aSilence.mTold) {
+  const bool isProven = aProof > aSilence.mUnansweredSince;
+  if ((aSilence.mRepeated >= kSilentAfter && isProven) || aSilence.mTold) {
     return Liveness::Silent;
   }
   if (aSilence.mRepeated > 0 || aSilence.mUnseen >= kSuspectedAfterUnseen) {
@@ -19,9 +20,9 @@
 
 /// Only a sign of life improves the liveness.
 bool
-Update(Silence& aSilence, state::TimePoint aNow)
+Update(Silence& aSilence, state::TimePoint aProof, state::TimePoint aNow)
 {
-  const auto judged = std::max(Judge(aSilence), aSilence.mLiveness);
+  const auto judged = std::max(Judge(aSilence, aProof), aSilence.mLiveness);
   if (judged == aSilence.mLiveness) {
     return false;
   }
@@ -63,13 +64,16 @@
 }
 
 bool
-NoteRepeated(Silence& aSilence, state::TimePoint aSent, state::TimePoint aNow)
+NoteRepeated(Silence& aSilence,
+             state::TimePoint aSent,
+             state::TimePoint aProof,
+             state::TimePoint aNow)
 {
   if (!IsEvidence(aSilence, aSent, aNow)) {
     return false;
   }
   ++aSilence.mRepeated;
-  return Update(aSilence, aNow);
+  return Update(aSilence, aProof, aNow);
 }
 
 bool
@@ -79,7 +83,7 @@
     return false;
   }
   ++aSilence.mUnseen;
-  return Update(aSilence, aNow);
+  return Update(aSilence, {}, aNow);
 }
 
 bool
@@ -92,7 +96,7 @@
   if (aSilence.mUnansweredSince == state::TimePoint{}) {
     aSilence.mUnansweredSince = aNow;
   }
-  return Update(aSilence, aNow);
+  return Update(aSilence, {}, aNow);
 }
 
 bool
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <optional>
 
 #include "generated/fleet.pb.h"
+#include <boost/endian/conversion.hpp>
+#include <zlib.h>
 
 namespace sassafrasknot::messages {
 namespace {
@@ -108,6 +111,54 @@
   return loads;
 }
 
+/// Longest set of changes, in bytes before compression.
+constexpr std::uint32_t kMostChanges = std::uint32_t{ 64 } << 20U;
+
+/// Configurations are text that repeats itself, and links between instances may
+/// be slow. The result starts with the length before compression.
+std::string
+Compress(const std::string& aBytes)
+{
+  constexpr int kFastest = 1;
+  auto size = compressBound(aBytes.size());
+  std::string result(sizeof(std::uint32_t) + size, '\0');
+  boost::endian::store_little_u32(
+    reinterpret_cast<unsigned char*>(result.data()),
+    static_cast<std::uint32_t>(aBytes.size()));
+  compress2(
+    reinterpret_cast<Bytef*>(result.data() + sizeof(std::uint32_t)),
+    &size,
+    reinterpret_cast<const Bytef*>(aBytes.data()),
+    aBytes.size(),
+    kFastest);
+  result.resize(sizeof(std::uint32_t) + size);
+  return result;
+}
+
+std::optional<std::string>
+Expand(std::string_view aBytes)
+{
+  if (aBytes.size() < sizeof(std::uint32_t)) {
+    return std::nullopt;
+  }
+  const auto length = boost::endian::load_little_u32(
+    reinterpret_cast<const unsigned char*>(aBytes.data()));
+  if (length > kMostChanges) {
+    return std::nullopt;
+  }
+  std::string result(length, '\0');
+  uLongf size = length;
+  const auto body = aBytes.substr(sizeof(std::uint32_t));
+  const int status = uncompress(reinterpret_cast<Bytef*>(result.data()),
+                                &size,
+                                reinterpret_cast<const Bytef*>(body.data()),
+                                body.size());
+  if (status != Z_OK || size != length) {
+    return std::nullopt;
+  }
+  return result;
+}
+
 } // namespace
 
 std::string
@@ -200,14 +251,15 @@
 {
   WireChanges wire;
   ToWire(aChanges, wire);
-  return wire.SerializeAsString();
+  return Compress(wire.SerializeAsString());
 }
 
 state::Result<fleet::ChangeSet>
 DecodeChanges(std::string_view aBytes)
 {
+  const auto bytes = Expand(aBytes);
   WireChanges wire;
-  if (!wire.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+  if (!bytes || !wire.ParseFromString(*bytes)) {
     return Malformed("changes: not readable");
   }
   return FromWire(wire);
