Compare few upstreams where many instances choose at the same time

Cause: with 20 instances in a data centre reports of loads are up to 200 ms old, and all instances sent new flows to the upstream that was cheapest in them: 6,868 of 76,055 arrivals were shed at half of the capacity in use. Change: the power of two choices in the own data centre, one choice elsewhere, where there are more than four local peers.

--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -100,6 +100,8 @@
   std::vector<LivenessChange> mLivenessChanges;
   /// Upstreams whose silence has just been found.
   std::vector<FlowToken> mNewlySilent;
+  /// Other instances of this data centre.
+  std::size_t mLocalPeers = 0;
   state::TimePoint mLastTick;
   /// When the newest packet was sent on that any upstream has answered.
   state::TimePoint mProof;
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -27,6 +27,13 @@
   /// Difference between an upstream without flows and one with its fair share
   /// of them, so that flows spread when nothing else tells upstreams apart.
   double mSpread = 0.05;
+  /// With more local peers than this, their reports are older than a request,
+  /// and instances that all chose the cheapest upstream would meet there.
+  std::size_t mFewPeers = 4;
+  /// Upstreams compared then: some at random of the own data centre, and some
+  /// of all others (the power of two choices).
+  std::size_t mLocalChoices = 2;
+  std::size_t mRemoteChoices = 1;
 };
 
 /// @brief What is to be placed.
@@ -37,6 +44,8 @@
   state::DataCentreId mDataCentre;
   /// Upstream that has just left the flow without an answer.
   FlowToken mAvoid = kNoToken;
+  /// Other instances of this data centre.
+  std::size_t mLocalPeers = 0;
 };
 
 /// @brief Returns the mean wait at an upstream, in units of the mean work time:
@@ -48,7 +57,7 @@
 ExpectedWait(double aUse, std::uint32_t aSlots);
 
 /// @brief Chooses the upstream of a new flow: the cheapest one that takes new
-/// flows, at random among equals.
+/// flows, or the cheapest of a few, at random among equals.
 /// @param aUpstreams the service's upstreams
 /// @param aRequest what is placed
 /// @param aPolicy weights
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -155,7 +155,8 @@
   }
   PublishDirectory();
   if (std::exchange(mLoadNews, false)) {
-    mTraffic.UsePeerLoads(fleet::PeerLoads(mCore));
+    mTraffic.UsePeerLoads(fleet::PeerLoads(mCore),
+                          fleet::LocalPeers(mCore.mPeers, now).size());
   }
   if (auto silent = std::exchange(mCore.mPeerSilence, {}); !silent.empty()) {
     mTraffic.UsePeerSilence(std::move(silent));
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -114,9 +114,11 @@
 
 void
 TrafficLoop::UsePeerLoads(
-  std::map<flows::FlowToken, flows::UpstreamLoad> aLoads)
+  std::map<flows::FlowToken, flows::UpstreamLoad> aLoads,
+  std::size_t aLocalPeers)
 {
-  boost::asio::post(mContext, [this, loads = std::move(aLoads)] {
+  boost::asio::post(mContext, [this, loads = std::move(aLoads), aLocalPeers] {
+    mRouter.mLocalPeers = aLocalPeers;
     for (auto& [token, record] : mRouter.mUpstreams.mByToken) {
       const auto found = loads.find(token);
       record.mPeers =
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -61,7 +61,8 @@
 
   /// The following may be called from any thread.
   void UseDirectory(std::shared_ptr<const flows::Directory> aDirectory);
-  void UsePeerLoads(std::map<flows::FlowToken, flows::UpstreamLoad> aLoads);
+  void UsePeerLoads(std::map<flows::FlowToken, flows::UpstreamLoad> aLoads,
+                    std::size_t aLocalPeers);
   void UsePeerSilence(std::set<flows::FlowToken> aTokens);
   /// Upstreams that answer a probe sent at aSent.
   void UseProven(std::set<flows::FlowToken> aTokens, state::TimePoint aSent);
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -168,7 +168,10 @@
   if (found != aRouter.mUpstreams.mByService.end()) {
     record =
       ChooseUpstream(found->second,
-                     { aRoute.mKind, aRouter.mSettings.mDataCentre, aAvoid },
+                     { aRoute.mKind,
+                       aRouter.mSettings.mDataCentre,
+                       aAvoid,
+                       aRouter.mLocalPeers },
                      aRouter.mSettings.mPolicy,
                      aRouter.mRandom,
                      aNow);
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <vector>
 
 namespace sassafrasknot::flows {
 namespace {
@@ -105,6 +106,45 @@
   return AdmitsFlow(aRecord.mSilence, aNow) ? Fitness::Good : Fitness::Silent;
 }
 
+/// Returns the upstreams of the best fitness that any has.
+std::vector<UpstreamRecord*>
+FittestCandidates(std::span<UpstreamRecord* const> aUpstreams,
+                  const PlacementRequest& aRequest,
+                  state::TimePoint aNow)
+{
+  std::vector<UpstreamRecord*> candidates;
+  auto best = Fitness::Avoided;
+  for (auto* record : aUpstreams) {
+    if (!TakesFlows(*record)) {
+      continue;
+    }
+    const auto fitness = FitnessOf(*record, aRequest, aNow);
+    if (fitness < best) {
+      best = fitness;
+      candidates.clear();
+    }
+    if (fitness == best) {
+      candidates.push_back(record);
+    }
+  }
+  return candidates;
+}
+
+/// Keeps the first candidates of this data centre and of others.
+void
+Thin(std::vector<UpstreamRecord*>& aCandidates,
+     const PlacementRequest& aRequest,
+     const PlacementPolicy& aPolicy)
+{
+  std::size_t local = 0;
+  std::size_t remote = 0;
+  std::erase_if(aCandidates, [&](const UpstreamRecord* aRecord) {
+    const bool isLocal = aRecord->mUpstream.mDataCentre == aRequest.mDataCentre;
+    return isLocal ? ++local > aPolicy.mLocalChoices
+                   : ++remote > aPolicy.mRemoteChoices;
+  });
+}
+
 } // namespace
 
 double
@@ -133,32 +173,21 @@
                std::minstd_rand& aRandom,
                state::TimePoint aNow)
 {
+  auto candidates = FittestCandidates(aUpstreams, aRequest, aNow);
+  // Equal ones are chosen alike often, and the first ones are a sample.
+  std::ranges::shuffle(candidates, aRandom);
+  if (aRequest.mLocalPeers > aPolicy.mFewPeers) {
+    Thin(candidates, aRequest, aPolicy);
+  }
   const auto service = SumLoad(aUpstreams);
   UpstreamRecord* best = nullptr;
-  auto bestFitness = Fitness::Avoided;
   double bestCost = std::numeric_limits<double>::max();
-  std::uint32_t equals = 0;
-  for (auto* record : aUpstreams) {
-    if (!TakesFlows(*record)) {
-      continue;
-    }
-    const auto fitness = FitnessOf(*record, aRequest, aNow);
+  for (auto* record : candidates) {
     const double cost = Cost(*record, service, aRequest, aPolicy, aNow);
-    if (best != nullptr &&
-        (fitness > bestFitness ||
-         (fitness == bestFitness && cost > bestCost))) {
-      continue;
-    }
-    const bool isEqual =
-      best != nullptr && fitness == bestFitness && cost == bestCost;
-    equals = isEqual ? equals + 1 : 1;
-    // Each of several equals is kept with the same probability.
-    if (isEqual && aRandom() % equals != 0) {
-      continue;
+    if (cost < bestCost) {
+      best = record;
+      bestCost = cost;
     }
-    best = record;
-    bestFitness = fitness;
-    bestCost = cost;
   }
   return best;
 }
