--- a/include/sassafrasknot/edge/settings.hpp
+++ b/include/sassafrasknot/edge/settings.hpp
@@ -27,6 +27,10 @@
   /// Fleet endpoints of instances that may know others.
   std::vector<state::Endpoint> mSeeds;
   state::Endpoint mStoreEndpoint;
+  /// Share of a processor core that the process may use.
+  double mProcessorShare = 1;
+  /// Bandwidth of the instance's link, in Mbit/s.
+  double mLinkMegabits = 1000;
   /// Longest planned stop.
   std::chrono::milliseconds mStopBound{ 5000 };
   /// Longest answer of the store, in bytes.
--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -94,11 +94,14 @@
   /// This instance's loads and silent upstreams, for the next messages.
   std::vector<TokenLoad> mLoads;
   std::vector<flows::FlowToken> mSilent;
+  std::vector<flows::FlowToken> mUnanswering;
   /// Upstreams that have answered a probe of this instance, and when it was
   /// sent.
   std::map<flows::FlowToken, state::TimePoint> mProven;
   /// Last loads of local peers.
   std::map<state::Endpoint, std::vector<TokenLoad>> mPeerLoads;
+  /// Upstreams that local peers get no answer from, as they last told.
+  std::map<state::Endpoint, std::vector<flows::FlowToken>> mPeerUnanswering;
   /// Last sums of other data centres, with the time at which they were made.
   std::map<state::DataCentreId, std::pair<state::TimePoint, std::vector<TokenLoad>>>
     mSums;
@@ -157,6 +160,14 @@
          const std::optional<ChangeSet>& aChanges,
          state::TimePoint aNow);
 
+/// @brief Returns the upstreams that this instance probes: if it speaks for its
+/// data centre, those that any of its instances gets no answer from.
+/// @param aCore the core
+/// @param aNow the time
+/// @return the upstreams
+std::vector<flows::FlowToken>
+UpstreamsToProbe(const FleetCore& aCore, state::TimePoint aNow);
+
 /// @brief Returns the loads of all other instances by upstream, as far as they
 /// are known.
 /// @param aCore the core
--- a/include/sassafrasknot/fleet/fleet_message.hpp
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -57,6 +57,9 @@
   /// Upstreams that the sender has found silent; present in messages within a
   /// data centre, since a cut between data centres looks alike for all of one.
   std::vector<flows::FlowToken> mSilent;
+  /// Upstreams that the sender suspects or has found silent, for the probes of
+  /// the data centre's speaker.
+  std::vector<flows::FlowToken> mUnanswering;
   /// Upstreams that have answered the sender's probes in the last second.
   std::vector<flows::FlowToken> mProven;
   /// The newest changes, if they are short.
--- a/include/sassafrasknot/fleet/peers.hpp
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -26,6 +26,8 @@
   bool mLeaving = false;
   /// Its last call to the platform failed.
   bool mBlind = false;
+  /// It has too little processor or bandwidth to work for others.
+  bool mWeak = false;
 
   auto operator<=>(const Member&) const = default;
 };
--- a/include/sassafrasknot/flows/data_centre_silence.hpp
+++ b/include/sassafrasknot/flows/data_centre_silence.hpp
@@ -9,9 +9,12 @@
 namespace sassafrasknot::flows {
 
 /// Upstreams of another data centre with a repeated packet, and none with an
-/// answer to a later one, that show that the data centre is cut off. Two may
-/// have crashed.
+/// answer to a later one, that show that the data centre is cut off: at least
+/// this many, since two may have crashed,
 constexpr std::uint32_t kCutAfterUpstreams = 3;
+/// and one of this many of the data centre's upstreams, since a fifth of them
+/// may crash at once.
+constexpr std::uint32_t kCutAfterOneIn = 4;
 
 /// @brief Returns whether no upstream of a data centre answers: the pattern of
 /// a cut between data centres, which shows at several upstreams at once long
--- a/include/sassafrasknot/flows/silence.hpp
+++ b/include/sassafrasknot/flows/silence.hpp
@@ -11,6 +11,10 @@
 /// Time after which a packet without an answer proves something. Callers send
 /// again after 200 ms; an upstream acknowledges within a few round trips.
 constexpr std::chrono::milliseconds kAnswerTime{ 150 };
+/// How much later than an unanswered packet one to another upstream must have
+/// been sent on, to prove by its answer that the fault is not a queue on this
+/// instance's link.
+constexpr std::chrono::milliseconds kProofLead{ 100 };
 /// Flows without an answer that make an upstream silent; one alone may be a
 /// lost packet.
 constexpr std::uint32_t kSilentAfter = 2;
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -47,6 +47,17 @@
       .count());
 }
 
+/// An instance that reads for others parses each configuration first and sends
+/// it to all of its data centre: some 10 ms of a core and 2 Mbit at once.
+bool
+IsWeak(const EdgeSettings& aSettings)
+{
+  constexpr double kProcessorShare = 0.1;
+  constexpr double kLinkMegabits = 50;
+  return aSettings.mProcessorShare < kProcessorShare ||
+         aSettings.mLinkMegabits < kLinkMegabits;
+}
+
 fleet::FleetSettings
 MakeFleetSettings(const EdgeSettings& aSettings)
 {
@@ -55,7 +66,8 @@
                      aSettings.mDataCentre,
                      UnixMilliseconds(),
                      false,
-                     false };
+                     false,
+                     IsWeak(aSettings) };
   settings.mSeeds = aSettings.mSeeds;
   settings.mSeed = static_cast<std::uint32_t>(state::CombineHashes(
     state::HashBytes(aSettings.mInstance), settings.mSelf.mIncarnation));
@@ -291,23 +303,23 @@
                 { "revision", std::to_string(mCore.mCatalogue.mRevision) } });
 }
 
-/// The speaker of a data centre probes for all of its instances, which
-/// have the same links to other data centres.
 void
 ControlLoop::ProbeUpstreams(state::TimePoint aNow)
 {
-  const auto& upstreams = mTrafficReport.mUnanswering;
-  if (upstreams.empty() || fleet::LocalRank(mCore.mPeers, aNow) != 0) {
+  const auto tokens = fleet::UpstreamsToProbe(mCore, aNow);
+  if (tokens.empty()) {
     return;
   }
-  std::vector<flows::FlowToken> tokens;
-  tokens.reserve(upstreams.size());
-  for (const auto& upstream : upstreams) {
-    tokens.push_back(flows::TokenOf(upstream.mId));
-  }
   for (const auto token : fleet::NextProbes(mProbes, tokens, aNow)) {
-    const auto found = std::ranges::find(tokens, token);
-    StartProbe(upstreams[static_cast<std::size_t>(found - tokens.begin())]);
+    const auto found =
+      std::ranges::find_if(mBuilder.mUpstreams, [token](const auto& aItem) {
+        return flows::TokenOf(aItem.first) == token;
+      });
+    if (found == mBuilder.mUpstreams.end()) {
+      fleet::NoteProbed(mProbes, token, aNow);
+    } else {
+      StartProbe(found->second.mListed.mUpstream);
+    }
   }
 }
 
@@ -466,6 +478,7 @@
 {
   mCore.mLoads = aReport.mLoads;
   mCore.mSilent = aReport.mSilent;
+  mCore.mUnanswering = aReport.mUnanswering;
   mTrafficReport = std::move(aReport);
 }
 
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -183,7 +183,7 @@
     }
     if (record.mSilence.mLiveness != flows::Liveness::Answers &&
         record.mPresence != flows::Presence::Gone) {
-      report.mUnanswering.push_back(record.mUpstream);
+      report.mUnanswering.push_back(token);
     }
   }
   report.mFlows = mRouter.mFlows.size();
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -32,7 +32,7 @@
   /// Upstreams that this instance itself has found silent.
   std::vector<flows::FlowToken> mSilent;
   /// All upstreams that are suspected or silent.
-  std::vector<flows::Upstream> mUnanswering;
+  std::vector<flows::FlowToken> mUnanswering;
   std::size_t mFlows = 0;
   /// Time since a caller's last packet.
   state::Duration mQuiet{ 0 };
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -101,6 +101,7 @@
   auto message = ComposeMessage(aCore, aNow);
   message.mLoads = aCore.mLoads;
   message.mSilent = aCore.mSilent;
+  message.mUnanswering = aCore.mUnanswering;
   std::erase_if(aCore.mProven, [&](const auto& aItem) {
     return aNow - aItem.second > kProvenTold;
   });
@@ -239,11 +240,13 @@
     aCore.mNextRemote = aNow + policy.mRemotePeriod;
     ForgetDead(aCore.mPeers, aNow);
     SendRemote(aCore, actions, aNow);
-    std::erase_if(aCore.mPeerLoads, [&](const auto& aEntry) {
+    const auto isDead = [&](const auto& aEntry) {
       const auto found = aCore.mPeers.mPeers.find(aEntry.first);
       return found == aCore.mPeers.mPeers.end() ||
              !IsAlive(found->second, aNow);
-    });
+    };
+    std::erase_if(aCore.mPeerLoads, isDead);
+    std::erase_if(aCore.mPeerUnanswering, isDead);
   }
   actions.mRead = NextRead(aCore.mReader,
                            ReaderRank(aCore.mPeers, aNow),
@@ -272,6 +275,7 @@
   }
   if (aMessage.mLoads) {
     aCore.mPeerLoads[sender.mEndpoint] = *aMessage.mLoads;
+    aCore.mPeerUnanswering[sender.mEndpoint] = aMessage.mUnanswering;
   }
   for (const auto& sum : aMessage.mSums) {
     if (sum.mDataCentre != aCore.mPeers.mSelf.mDataCentre) {
@@ -345,6 +349,20 @@
   return actions;
 }
 
+std::vector<flows::FlowToken>
+UpstreamsToProbe(const FleetCore& aCore, state::TimePoint aNow)
+{
+  if (LocalRank(aCore.mPeers, aNow) != 0) {
+    return {};
+  }
+  std::set<flows::FlowToken> tokens(aCore.mUnanswering.begin(),
+                                    aCore.mUnanswering.end());
+  for (const auto& [endpoint, unanswering] : aCore.mPeerUnanswering) {
+    tokens.insert(unanswering.begin(), unanswering.end());
+  }
+  return { tokens.begin(), tokens.end() };
+}
+
 std::map<flows::FlowToken, flows::UpstreamLoad>
 PeerLoads(const FleetCore& aCore)
 {
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -28,6 +28,7 @@
   const auto order = [](const Member& aMember) {
     return std::tuple(aMember.mLeaving,
                       aMember.mBlind,
+                      aMember.mWeak,
                       aMember.mIncarnation,
                       aMember.mEndpoint);
   };
--- a/src/sassafrasknot/flows/silence.cpp
+++ b/src/sassafrasknot/flows/silence.cpp
@@ -8,7 +8,7 @@
 Liveness
 Judge(const Silence& aSilence, state::TimePoint aProof)
 {
-  const bool isProven = aProof > aSilence.mUnansweredSince;
+  const bool isProven = aProof > aSilence.mUnansweredSince + kProofLead;
   if ((aSilence.mRepeated >= kSilentAfter && isProven) || aSilence.mTold) {
     return Liveness::Silent;
   }
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -38,6 +38,7 @@
   aWire.set_incarnation(aMember.mIncarnation);
   aWire.set_leaving(aMember.mLeaving);
   aWire.set_blind(aMember.mBlind);
+  aWire.set_weak(aMember.mWeak);
 }
 
 state::Result<fleet::Member>
@@ -53,7 +54,8 @@
     { aWire.data_centre() },
     aWire.incarnation(),
     aWire.leaving(),
-    aWire.blind()
+    aWire.blind(),
+    aWire.weak()
   };
 }
 
@@ -188,6 +190,9 @@
   for (const auto token : aMessage.mSilent) {
     wire.add_silent(token);
   }
+  for (const auto token : aMessage.mUnanswering) {
+    wire.add_unanswering(token);
+  }
   for (const auto token : aMessage.mProven) {
     wire.add_proven(token);
   }
@@ -239,6 +244,8 @@
                               std::move(loads).value() });
   }
   message.mSilent.assign(wire.silent().begin(), wire.silent().end());
+  message.mUnanswering.assign(wire.unanswering().begin(),
+                              wire.unanswering().end());
   message.mProven.assign(wire.proven().begin(), wire.proven().end());
   if (wire.has_changes()) {
     message.mChanges = FromWire(wire.changes());
