--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -68,8 +68,11 @@
   Reason mReason = Reason::NotReady;
   /// Whether the flow's request may have run, as far as this instance knows.
   state::Verdict mVerdict = state::Verdict::NotRun;
-  /// Receiver; only for Forward, valid until the next directory.
+  /// Receiver of a Forward, or the upstream for which a flow is reset; valid
+  /// until the next directory.
   const UpstreamRecord* mUpstream = nullptr;
+  /// Upstream that did not answer the flow's opening packet; for Replaced.
+  const UpstreamRecord* mLeft = nullptr;
 };
 
 /// @brief A change of belief about an upstream.
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -342,7 +342,8 @@
     const flows::Decision decision{ flows::Step::Reset,
                                     flows::Reason::UpstreamSilent,
                                     state::Verdict::MayHaveRun,
-                                    nullptr };
+                                    flows::FindUpstream(mRouter.mUpstreams,
+                                                        flow.mToken) };
     Count(mMetrics->mPackets[static_cast<std::size_t>(decision.mReason)]);
     Execute(packet, decision, {});
     LogDecision(packet, decision);
@@ -371,6 +372,9 @@
   } else if (aPacket.mToken != flows::kNoToken) {
     fields.emplace_back("token", std::to_string(aPacket.mToken));
   }
+  if (const auto* left = aDecision.mLeft) {
+    fields.emplace_back("left", left->mUpstream.mId);
+  }
   mLog->Write("flow_" + std::string(ToString(aDecision.mReason)), fields);
 }
 
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -220,7 +220,9 @@
   if (record != nullptr) {
     NoteRepetition(aRouter, *record, entry.mOpened, aNow);
   }
-  return Place(aRouter, aPacket, *route, entry.mToken, aNow);
+  auto decision = Place(aRouter, aPacket, *route, entry.mToken, aNow);
+  decision.mLeft = record;
+  return decision;
 }
 
 FlowEntry&
@@ -290,8 +292,9 @@
   if (record->mSilence.mLiveness == Liveness::Silent && aPacket.mPayload > 0 &&
       entry.mKind == RequestKind::Idempotent) {
     Forget(aRouter, aPacket.mFlow);
-    return Refuse(
-      Step::Reset, Reason::UpstreamSilent, state::Verdict::MayHaveRun);
+    return {
+      Step::Reset, Reason::UpstreamSilent, state::Verdict::MayHaveRun, record
+    };
   }
   if (isEnd) {
     aRouter.mFlows.erase(aPacket.mFlow);
