--- a/src/sassafrasknot/messages/fleet_codec_test.cpp
+++ b/src/sassafrasknot/messages/fleet_codec_test.cpp
@@ -23,7 +23,7 @@
   message.mConfirmedAge = std::chrono::milliseconds(40);
   message.mMembers = { { { { { 9 }, 7720 }, { "b" }, 5 },
                          std::chrono::milliseconds(7) } };
-  message.mLoads = { { 4, { 2, 1 } } };
+  message.mLoads = std::vector{ fleet::TokenLoad{ 4, { 2, 1 } } };
   message.mSums = {
     { { "b" }, std::chrono::milliseconds(3), { { 8, { 1, 0 } } } }
   };
