--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -26,6 +26,9 @@
 
 namespace sassafrasknot::edge {
 
+/// Path of the changes that an instance serves to others.
+constexpr std::string_view kChangesPath = "/changes?after=";
+
 /// Runs the fleet core and connects it with the store, the other instances and
 /// the traffic thread.
 class ControlLoop
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/edge/traffic_loop.hpp"
 
+#include "sassafrasknot/edge/traffic_log.hpp"
 #include "sassafrasknot/state/hashing.hpp"
 
 #include <utility>
@@ -30,72 +31,6 @@
 /// One flow in this many is logged from its first to its last packet.
 constexpr std::uint64_t kLogOneFlowIn = 8;
 
-std::string
-FlowText(const state::FlowKey& aFlow)
-{
-  return ToString(aFlow.mCaller) + ">" + ToString(aFlow.mService);
-}
-
-std::string_view
-ToText(flows::Liveness aLiveness)
-{
-  switch (aLiveness) {
-    case flows::Liveness::Answers:
-      return "answers";
-    case flows::Liveness::Suspected:
-      return "suspected";
-    case flows::Liveness::Silent:
-      break;
-  }
-  return "silent";
-}
-
-std::string_view
-ToText(flows::Presence aPresence)
-{
-  switch (aPresence) {
-    case flows::Presence::Listed:
-      return "listed";
-    case flows::Presence::Missing:
-      return "missing";
-    case flows::Presence::Gone:
-      break;
-  }
-  return "gone";
-}
-
-std::shared_ptr<const std::string>
-DumpUpstreams(const flows::FlowRouter& aRouter, state::TimePoint aNow)
-{
-  auto text = std::make_shared<std::string>();
-  for (const auto& [token, record] : aRouter.mUpstreams.mByToken) {
-    const auto& silence = record.mSilence;
-    const net::LogFields fields{
-      { "token", std::to_string(token) },
-      { "service", record.mUpstream.mService },
-      { "address", ToString(record.mUpstream.mAddress) },
-      { "data_centre", record.mUpstream.mDataCentre.mValue },
-      { "presence", std::string(ToText(record.mPresence)) },
-      { "draining", record.mUpstream.mDraining ? "yes" : "no" },
-      { "cold", aNow < record.mWarm ? "yes" : "no" },
-      { "own_feeds", std::to_string(record.mOwn.mFeeds) },
-      { "own_at_work", std::to_string(record.mOwn.mAtWork) },
-      { "peers_feeds", std::to_string(record.mPeers.mFeeds) },
-      { "peers_at_work", std::to_string(record.mPeers.mAtWork) },
-      { "liveness", std::string(ToText(silence.mLiveness)) },
-      { "repeated", std::to_string(silence.mRepeated) },
-      { "unseen", std::to_string(silence.mUnseen) },
-      { "told", silence.mTold ? "yes" : "no" },
-    };
-    *text += "upstream " + record.mUpstream.mId;
-    for (const auto& [key, value] : fields) {
-      *text += " " + key + "=" + value;
-    }
-    *text += "\n";
-  }
-  return text;
-}
-
 bool
 IsLogged(const flows::CallerPacket& aPacket, const flows::Decision& aDecision)
 {
@@ -350,55 +285,4 @@
   }
 }
 
-void
-TrafficLoop::LogDecision(const flows::CallerPacket& aPacket,
-                         const flows::Decision& aDecision)
-{
-  net::LogFields fields{
-    { "flow", FlowText(aPacket.mFlow) },
-    { "verdict", std::string(ToString(aDecision.mVerdict)) },
-    { "copy", std::to_string(aPacket.mCopy) },
-  };
-  if (mRouter.mDirectory) {
-    fields.emplace_back("revision",
-                        std::to_string(mRouter.mDirectory->mRevision));
-  }
-  if (const auto* record = aDecision.mUpstream) {
-    fields.emplace_back("upstream", record->mUpstream.mId);
-    fields.emplace_back("data_centre", record->mUpstream.mDataCentre.mValue);
-    fields.emplace_back("own_at_work", std::to_string(record->mOwn.mAtWork));
-    fields.emplace_back("peers_at_work",
-                        std::to_string(record->mPeers.mAtWork));
-  } else if (aPacket.mToken != flows::kNoToken) {
-    fields.emplace_back("token", std::to_string(aPacket.mToken));
-  }
-  if (const auto* left = aDecision.mLeft) {
-    fields.emplace_back("left", left->mUpstream.mId);
-  }
-  mLog->Write("flow_" + std::string(ToString(aDecision.mReason)), fields);
-}
-
-void
-TrafficLoop::LogLivenessChanges()
-{
-  const auto now = Clock::now();
-  for (const auto& change : std::exchange(mRouter.mLivenessChanges, {})) {
-    const bool answers = change.mLiveness == flows::Liveness::Answers;
-    Count(answers ? mMetrics->mSilencesEnded : mMetrics->mSilencesBegun);
-    const auto* record = flows::FindUpstream(mRouter.mUpstreams, change.mToken);
-    if (record == nullptr) {
-      continue;
-    }
-    const auto age = std::chrono::duration_cast<milliseconds>(
-      now - record->mSilence.mLastSign);
-    mLog->Write("upstream_" + std::string(ToText(change.mLiveness)),
-                { { "upstream", record->mUpstream.mId },
-                  { "data_centre", record->mUpstream.mDataCentre.mValue },
-                  { "repeated", std::to_string(record->mSilence.mRepeated) },
-                  { "unseen", std::to_string(record->mSilence.mUnseen) },
-                  { "told", record->mSilence.mTold ? "yes" : "no" },
-                  { "last_sign_ms", std::to_string(age.count()) } });
-  }
-}
-
 } // namespace sassafrasknot::edge
