--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -71,7 +71,10 @@
     };
     *text += "upstream " + record.mUpstream.mId;
     for (const auto& [key, value] : fields) {
-      *text += " " + key + "=" + value;
+      *text += ' ';
+      *text += key;
+      *text += '=';
+      *text += value;
     }
     *text += "\n";
   }
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -131,6 +131,7 @@
     }
   }
   std::vector<const Peer*> result;
+  result.reserve(speakers.size());
   for (const auto& [dataCentre, speaker] : speakers) {
     result.push_back(speaker);
   }
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -106,6 +106,7 @@
     return Malformed("fleet message: lists of loads differ in length");
   }
   std::vector<fleet::TokenLoad> loads;
+  loads.reserve(static_cast<std::size_t>(aWire.tokens_size()));
   for (int index = 0; index < aWire.tokens_size(); ++index) {
     loads.push_back(
       { aWire.tokens(index), { aWire.feeds(index), aWire.at_work(index) } });
