--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -59,6 +59,7 @@
   std::atomic<std::uint64_t> mPulls{ 0 };
   std::atomic<std::uint64_t> mPullFailures{ 0 };
   LatencyHistogram mStoreCall;
+  LatencyHistogram mAnswer;
 };
 
 /// @brief Adds one to a counter that only this thread writes.
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -5,7 +5,6 @@
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/state/time.hpp"
 
-#include <chrono>
 #include <cstdint>
 
 namespace sassafrasknot::flows {
@@ -16,7 +15,6 @@
 {
   FlowToken mToken = kNoToken;
   RequestKind mKind = RequestKind::NonIdempotent;
-  std::chrono::milliseconds mTimeout{ 0 };
   /// The caller has the upstream's handshake.
   bool mOpen = false;
   /// A request is at the upstream.
@@ -27,8 +25,6 @@
   bool mSilenceNoted = false;
   /// When the opening packet was sent on.
   state::TimePoint mOpened;
-  /// When the newest request was first sent on.
-  state::TimePoint mRequested;
   /// When the newest byte was first sent on.
   state::TimePoint mNewData;
   state::TimePoint mLastPacket;
@@ -44,8 +40,8 @@
   bool mAnswered = false;
   /// When the packet was sent on that the upstream has answered.
   state::TimePoint mAnsweredSent;
-  /// A new request starts.
-  bool mRequest = false;
+  /// The answer is the first one to a request.
+  bool mEndsRequest = false;
   /// Payload that ends where earlier payload did, or before. Packets may also
   /// overtake each other.
   bool mRepeated = false;
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -73,6 +73,9 @@
   const UpstreamRecord* mUpstream = nullptr;
   /// Upstream that did not answer the flow's opening packet; for Replaced.
   const UpstreamRecord* mLeft = nullptr;
+  /// Time from a request's last byte to the caller's acknowledgement of the
+  /// answer's first bytes, where the packet shows it.
+  std::optional<state::Duration> mAnswerTime;
 };
 
 /// @brief A change of belief about an upstream.
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -132,6 +132,10 @@
                  "store_call_seconds",
                  "Time of answered calls to the platform.",
                  aMetrics.mStoreCall);
+  WriteHistogram(out,
+                 "answer_seconds",
+                 "Time from a request to its answer, as callers show it.",
+                 aMetrics.mAnswer);
   for (const auto& gauge : aGauges) {
     WriteHead(out, gauge.mName, gauge.mHelp, "gauge");
     out << kPrefix << gauge.mName << ' ' << gauge.mValue << '\n';
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -208,6 +208,9 @@
   }
   const auto decision = flows::OnPacket(mRouter, packet.value(), mLastPacket);
   Count(mMetrics->mPackets[static_cast<std::size_t>(decision.mReason)]);
+  if (decision.mAnswerTime) {
+    Observe(mMetrics->mAnswer, *decision.mAnswerTime);
+  }
   Execute(packet.value(), decision, aDatagram);
   if (IsLogged(packet.value(), decision)) {
     LogDecision(packet.value(), decision);
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -28,18 +28,15 @@
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
     findings.mAnsweredSent = aEntry.mNewData;
+    findings.mEndsRequest = aEntry.mAtWork;
     aEntry.mAtWork = false;
   }
   if (aPacket.mPayload > 0) {
     const auto end = aPacket.mSequence + aPacket.mPayload;
     if (IsAfter(end, aEntry.mNextSequence)) {
       aEntry.mNextSequence = end;
-      findings.mRequest = !aEntry.mAtWork;
       aEntry.mNewData = aNow;
       aEntry.mSilenceNoted = false;
-      if (findings.mRequest) {
-        aEntry.mRequested = aNow;
-      }
       aEntry.mAtWork = true;
     } else {
       findings.mRepeated = true;
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -92,13 +92,11 @@
   auto& entry = aRouter.mFlows[aPacket.mFlow];
   entry.mToken = record->mToken;
   entry.mKind = aRoute.mKind;
-  entry.mTimeout = aRoute.mTimeout;
   entry.mOpened = aNow;
   entry.mLastPacket = aNow;
   entry.mCounted = true;
   // A flow opens for a request, which is on its way already.
   entry.mAtWork = true;
-  entry.mRequested = aNow;
   AddLoad(*record, entry, 1);
   return { Step::Forward,
            aAvoid == kNoToken ? Reason::Placed : Reason::Replaced,
@@ -154,7 +152,6 @@
     entry.mAcknowledged = aPacket.mAcknowledged;
     entry.mToken = aRecord.mToken;
     entry.mKind = aRoute.mKind;
-    entry.mTimeout = aRoute.mTimeout;
     entry.mOpened = aNow;
     entry.mCounted = true;
     AddLoad(aRecord, entry, 1);
@@ -208,9 +205,13 @@
   if (isEnd) {
     aRouter.mFlows.erase(aPacket.mFlow);
   }
-  return {
+  Decision decision{
     Step::Forward, Reason::Established, state::Verdict::MayHaveRun, record
   };
+  if (findings.mEndsRequest) {
+    decision.mAnswerTime = aNow - findings.mAnsweredSent;
+  }
+  return decision;
 }
 
 } // namespace
--- a/src/sassafrasknot/flows/flow_router_test.cpp
+++ b/src/sassafrasknot/flows/flow_router_test.cpp
@@ -142,7 +142,9 @@
   EXPECT_EQ(record.mOwn, (UpstreamLoad{ 1, 1 }));
   fixture.Send(5, kFeedPort, token, 1, 1, 100, milliseconds(3));
   EXPECT_EQ(record.mOwn, (UpstreamLoad{ 1, 1 }));
-  fixture.Send(5, kFeedPort, token, 101, 400, 0, milliseconds(20));
+  const auto answered =
+    fixture.Send(5, kFeedPort, token, 101, 400, 0, milliseconds(20));
+  EXPECT_EQ(answered.mAnswerTime, milliseconds(17));
   EXPECT_EQ(record.mOwn, (UpstreamLoad{ 1, 0 }));
   fixture.Open(6, kRequestPort, milliseconds(30));
   EXPECT_EQ(record.mOwn, (UpstreamLoad{ 1, 1 }));
