--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -156,12 +156,9 @@
 /// @brief Takes the answer to a pull.
 /// @param aCore the core
 /// @param aChanges the changes, or nothing if the pull failed
-/// @param aNow the time
 /// @return what to do
 FleetActions
-OnPulled(FleetCore& aCore,
-         const std::optional<ChangeSet>& aChanges,
-         state::TimePoint aNow);
+OnPulled(FleetCore& aCore, const std::optional<ChangeSet>& aChanges);
 
 /// @brief Returns the upstreams that this instance probes: if it speaks for its
 /// data centre, those that any of its instances gets no answer from.
--- a/src/sassafrasknot/edge/control_calls.cpp
+++ b/src/sassafrasknot/edge/control_calls.cpp
@@ -136,7 +136,7 @@
                                   { "after", std::to_string(aPull.mAfter) },
                                   { "reason", reason } });
                   }
-                  Execute(fleet::OnPulled(mCore, changes, Clock::now()));
+                  Execute(fleet::OnPulled(mCore, changes));
                   PublishDirectory();
                 });
 }
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -148,7 +148,7 @@
 }
 
 /// Sends members to one instance of another data centre and to one of this
-/// data centre; to the seeds as long as nobody else is known.
+/// data centre.
 void
 SendRemote(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
 {
@@ -160,6 +160,7 @@
   Send(aActions, std::move(message), receivers);
 }
 
+/// Asks the seeds, as long as nobody else is known.
 void
 SendToSeeds(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
 {
@@ -274,6 +275,7 @@
     actions.mSend.push_back({ std::move(reply), { sender.mEndpoint } });
   }
   if (aMessage.mLoads) {
+    // Messages with loads come from local peers.
     aCore.mPeerLoads[sender.mEndpoint] = *aMessage.mLoads;
     aCore.mPeerUnanswering[sender.mEndpoint] = aMessage.mUnanswering;
   }
@@ -336,9 +338,7 @@
 }
 
 FleetActions
-OnPulled(FleetCore& aCore,
-         const std::optional<ChangeSet>& aChanges,
-         state::TimePoint /*aNow*/)
+OnPulled(FleetCore& aCore, const std::optional<ChangeSet>& aChanges)
 {
   FleetActions actions;
   aCore.mPulling = false;
--- a/src/sassafrasknot/fleet/fleet_core_test.cpp
+++ b/src/sassafrasknot/fleet/fleet_core_test.cpp
@@ -64,7 +64,7 @@
       if (source.mRunning) {
         changes = ChangesAfter(source.mCore.mCatalogue, aActions.mPull->mAfter);
       }
-      Execute(aNode, OnPulled(aNode.mCore, changes, mNow));
+      Execute(aNode, OnPulled(aNode.mCore, changes));
     }
     if (aActions.mRead) {
       aNode.mWaiting = aActions.mRead;
