Keep gRPC's callback queue until the process ends

Cause: ControlServer.EndsCallsWithoutAReply aborted in gRPC 1.51 with "ref_counted.h:183 assertion failed: prior > 0" in a thread of gRPC's callback queue. The queue is destroyed with the last channel or server and created again by the next one, while its threads may still be in it.

Ruled out: a channel whose last owner is a callback (the callback let go of call and channel before the client's destructor returned: 3 of 8 processes still aborted with 150 repeats); a reactor of the server's own (earlier).

Change: a channel that is never destroyed holds the queue, which therefore outlives every server and client of the process.

--- a/src/sassafrasknot/transport/control_client.cpp
+++ b/src/sassafrasknot/transport/control_client.cpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <utility>
 
+#include "callback_queue.hpp"
 #include "grpc_status.hpp"
 #include <grpcpp/client_context.h>
 #include <grpcpp/create_channel.h>
@@ -85,6 +86,7 @@
 ControlClient::ControlClient()
   : mImpl(std::make_unique<Impl>())
 {
+  KeepCallbackQueue();
 }
 
 ControlClient::~ControlClient()
--- a/src/sassafrasknot/transport/control_server.cpp
+++ b/src/sassafrasknot/transport/control_server.cpp
@@ -8,6 +8,7 @@
 #include <shared_mutex>
 #include <utility>
 
+#include "callback_queue.hpp"
 #include "grpc_status.hpp"
 #include <grpcpp/server.h>
 #include <grpcpp/server_builder.h>
@@ -259,6 +260,7 @@
 state::Result<std::unique_ptr<ControlServer>>
 ControlServer::Start(const state::Endpoint& aListen, ControlHandlers aHandlers)
 {
+  KeepCallbackQueue();
   auto impl = std::make_unique<Impl>(std::move(aHandlers));
   grpc::ServerBuilder builder;
   // Without this, two processes could share the port silently.
