Accept restarted instances whose clock jumped back, and ask absent seeds

Cause: members are ordered by the time of day of their start. After a clock step back, a restarted instance has an earlier start than its previous process, and peers ignored its loads, silences and liveness until the time of day caught up or the entry was forgotten (60 s). And an instance asked the seeds only while it knew nobody, so that two groups which started during a cut between data centres never met.

Ruled out: random incarnations, which give no order for datagrams of the previous process that arrive late.

Change: the order of starts counts for kReaderTimeout (1 s) after the last sign of the known process. Seeds that are not known to live are asked each 2.5 s, also by instances that have peers.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -27,6 +27,10 @@
   std::chrono::milliseconds mLongestLocalPeriod{ 500 };
   /// Messages to the seeds while no peer is known.
   std::chrono::milliseconds mSeedPeriod{ 250 };
+  /// Messages to the seeds that are not known to live, so that groups which
+  /// started while they were cut off from each other meet; shorter than the
+  /// time after which a member is taken for dead.
+  std::chrono::milliseconds mRejoinPeriod{ 2500 };
   /// Messages with the sums of loads between data centres.
   std::chrono::milliseconds mSumPeriod{ 200 };
   /// Messages with member lists.
@@ -42,7 +46,7 @@
 struct FleetSettings
 {
   Member mSelf;
-  /// Endpoints that are asked until a peer is known.
+  /// Endpoints that are asked while they are not among the peers.
   std::vector<state::Endpoint> mSeeds;
   FleetPolicy mPolicy;
   ReaderPauses mReaderPauses;
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -160,13 +160,19 @@
   Send(aActions, std::move(message), receivers);
 }
 
-/// Asks the seeds, as long as nobody else is known.
+/// Asks the seeds that are not known to live.
 void
 SendToSeeds(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
 {
   auto seeds = aCore.mSettings.mSeeds;
-  std::erase(seeds, aCore.mPeers.mSelf.mEndpoint);
-  aActions.mSend.push_back({ ComposeMessage(aCore, aNow), std::move(seeds) });
+  std::erase_if(seeds, [&](const state::Endpoint& aSeed) {
+    const auto found = aCore.mPeers.mPeers.find(aSeed);
+    return aSeed == aCore.mPeers.mSelf.mEndpoint ||
+           (found != aCore.mPeers.mPeers.end() && IsAlive(found->second, aNow));
+  });
+  if (!seeds.empty()) {
+    aActions.mSend.push_back({ ComposeMessage(aCore, aNow), std::move(seeds) });
+  }
 }
 
 /// Tells all local peers, and the speakers of other data centres, of changes
@@ -223,12 +229,11 @@
     SendLocal(aCore, actions, aNow);
   }
   if (aNow >= aCore.mNextSeed) {
-    aCore.mNextSeed = aNow + policy.mSeedPeriod;
     const bool isAlone = LocalPeers(aCore.mPeers, aNow).empty() &&
                          RemotePeers(aCore.mPeers, aNow).empty();
-    if (isAlone) {
-      SendToSeeds(aCore, actions, aNow);
-    }
+    aCore.mNextSeed =
+      aNow + (isAlone ? policy.mSeedPeriod : policy.mRejoinPeriod);
+    SendToSeeds(aCore, actions, aNow);
   }
   if (aNow >= aCore.mNextSum) {
     aCore.mNextSum = aNow + policy.mSumPeriod;
--- a/src/sassafrasknot/fleet/fleet_core_test.cpp
+++ b/src/sassafrasknot/fleet/fleet_core_test.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/fleet/fleet_core.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 #include <gtest/gtest.h>
@@ -251,5 +252,31 @@
   EXPECT_EQ(loads.at(77), (flows::UpstreamLoad{ 4, 3 }));
 }
 
+// Guards against two groups of instances that start while their data centres
+// are cut off from each other, and never meet after that: each knows peers and
+// asks no seed.
+TEST(FleetCore, AsksSeedsThatAreNotAmongItsPeers)
+{
+  FleetSettings settings;
+  settings.mSelf = { { { 3 }, 7000 }, { "b" }, 100 };
+  const state::Endpoint seed{ { 1 }, 7000 };
+  settings.mSeeds = { seed };
+  auto core = MakeFleetCore(settings);
+  auto now = At(milliseconds(0));
+  std::int64_t asked = 0;
+  constexpr std::chrono::seconds kRun{ 10 };
+  for (const auto end = now + kRun; now < end; now += milliseconds(25)) {
+    FleetMessage message;
+    message.mSender = { { { 4 }, 7000 }, { "b" }, 90 };
+    OnMessage(core, message, now);
+    for (const auto& sending : OnTick(core, now).mSend) {
+      asked += std::ranges::count(sending.mReceivers, seed);
+    }
+  }
+  const auto periods = kRun / settings.mPolicy.mRejoinPeriod;
+  EXPECT_GE(asked, periods);
+  EXPECT_LE(asked, periods + 1);
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -41,6 +41,16 @@
          aNow - aPeer.mHeard < kReaderTimeout;
 }
 
+/// Returns whether news of a member, of this time, come from an earlier process
+/// than the known one. Starts are dated by the time of day, which may have
+/// jumped back since, so that the order counts for a short time only.
+bool
+IsOutdated(const Peer& aPeer, const Member& aNews, state::TimePoint aTime)
+{
+  return aNews.mIncarnation < aPeer.mMember.mIncarnation &&
+         aTime - aPeer.mSeen <= kReaderTimeout;
+}
+
 } // namespace
 
 bool
@@ -50,7 +60,7 @@
     return false;
   }
   auto& peer = aPeers.mPeers[aMember.mEndpoint];
-  if (aMember.mIncarnation < peer.mMember.mIncarnation) {
+  if (IsOutdated(peer, aMember, aNow)) {
     return false;
   }
   const bool isNews =
@@ -70,7 +80,7 @@
   }
   auto& peer = aPeers.mPeers[aMember.mEndpoint];
   const auto seen = aNow - aAge;
-  if (aMember.mIncarnation < peer.mMember.mIncarnation || seen <= peer.mSeen) {
+  if (seen <= peer.mSeen || IsOutdated(peer, aMember, seen)) {
     return;
   }
   peer.mMember = aMember;
--- a/src/sassafrasknot/transport/callback_queue.cpp
+++ b/src/sassafrasknot/transport/callback_queue.cpp
@@ -15,10 +15,9 @@
 /// the queue for it and keeps the reference.
 struct QueueHolder
 {
-  std::unique_ptr<peer::Operator::Stub> mStub =
-    peer::Operator::NewStub(grpc::CreateChannel(
-      "127.0.0.1:1", // Never connected to.
-      grpc::InsecureChannelCredentials()));
+  std::unique_ptr<peer::Operator::Stub> mStub = peer::Operator::NewStub(
+    grpc::CreateChannel("127.0.0.1:1", // Never connected to.
+                        grpc::InsecureChannelCredentials()));
   grpc::ClientContext mContext;
   peer::Empty mRequest;
   peer::Text mAnswer;
