Add a randomised soak of real instances under faults from outside

Change: testing/soak runs instances as processes and the rest of the platform (store, routers, upstreams, callers) on one thread. Checks: UNASKED, MIXED, ROUTE, DRAIN, CONFIG, FLOW, TWICE, NOT-RUN, STOP, ENDS and RECOVER, by what callers and upstreams see.

The daemon announces the machine's address ("ip" of the settings) to other instances instead of the one that it binds, so that relays can stand between them; on the platform both are the same.

--- a/include/sassafrasknot/edge/settings.hpp
+++ b/include/sassafrasknot/edge/settings.hpp
@@ -24,6 +24,8 @@
   state::Endpoint mAdminEndpoint;
   /// UDP and TCP endpoint for other instances.
   state::Endpoint mFleetEndpoint;
+  /// Where other instances reach mFleetEndpoint; it identifies the instance.
+  state::Endpoint mAnnouncedEndpoint;
   /// Fleet endpoints of instances that may know others.
   std::vector<state::Endpoint> mSeeds;
   state::Endpoint mStoreEndpoint;
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -53,7 +53,7 @@
 MakeFleetSettings(const EdgeSettings& aSettings)
 {
   fleet::FleetSettings settings;
-  settings.mSelf = { aSettings.mFleetEndpoint,
+  settings.mSelf = { aSettings.mAnnouncedEndpoint,
                      aSettings.mDataCentre,
                      UnixMilliseconds(),
                      false,
--- /dev/null
+++ b/testing/soak/sabotage_test.sh
@@ -0,0 +1,32 @@
+#!/bin/bash
+# Each check of the soak must find the deliberate fault that is made for it.
+set -euo pipefail
+soak="$1" daemon="$2"
+work="$(mktemp -d)"
+trap 'rm -rf "$work"' EXIT
+find_fault() { # KIND RULE SEED
+  if "$soak" --seed "$3" --seconds 8 --daemon "$daemon" --folder "$work/$1" --sabotage "$1" \
+    >"$work/$1.txt" 2>&1; then
+    echo "$1: not found" && return 1
+  fi
+  grep -q "^  $2 at" "$work/$1.txt" || { echo "$1: not reported as $2" && cat "$work/$1.txt" && return 1; }
+}
+pids=()
+while read -r kind rule seed; do
+  find_fault "$kind" "$rule" "$seed" &
+  pids+=($!)
+done <<'KINDS'
+config CONFIG 6
+drain DRAIN 3
+ends ENDS 3
+mixed MIXED 3
+not-run NOT-RUN 3
+recover RECOVER 3
+reset FLOW 3
+route ROUTE 3
+twice TWICE 3
+unasked UNASKED 3
+KINDS
+failed=0
+for pid in "${pids[@]}"; do wait "$pid" || failed=1; done
+exit "$failed"
