Divide the upstreams of large data centres among their instances

Each placement compared all upstreams of the service, each instance told its loads to all of its data centre (two choices by reports of 200 ms), and the speakers' sums exceeded the largest message (8 KB) beyond some 1,000 upstreams, so that they were lost.

Ruled out: fewer messages to all peers, since reports of 500 ms are older than a request; reports of all loads through the speaker, which would send 1.7 MB/s at 75 instances.

Change: with more than nine instances in a data centre each chooses among an arc of its upstreams (subset.hpp), so that four instances share one and their neighbours are all that hear their loads, each 80 ms. All others get short messages; other data centres get the mean use. Averages are kept for the own subset only. Sending and taking loads moves from fleet_core.cpp to load_exchange.cpp, the taking of revisions out of OnMessage.

Small data centres behave as before.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -19,12 +19,17 @@
 /// @brief Periods and sizes of the messages between instances.
 struct FleetPolicy
 {
-  /// Messages with loads within a data centre: shortest period, period per
-  /// peer, and longest one. Loads change within the work time of a request,
-  /// some 15 ms to 60 ms.
+  /// Messages with loads to neighbours within a data centre: shortest period,
+  /// period per peer, and longest one. Loads change within the work time of a
+  /// request, some 15 ms to 60 ms.
   std::chrono::milliseconds mLocalPeriod{ 25 };
   std::chrono::milliseconds mLocalPeriodPerPeer{ 10 };
   std::chrono::milliseconds mLongestLocalPeriod{ 500 };
+  /// Messages without loads to the other instances of a large data centre:
+  /// period per peer, and longest one, two of which may be lost before an
+  /// instance is taken for dead.
+  std::chrono::milliseconds mFarPeriodPerPeer{ 20 };
+  std::chrono::milliseconds mLongestFarPeriod{ 1150 };
   /// Messages to the seeds while no peer is known.
   std::chrono::milliseconds mSeedPeriod{ 250 };
   /// Messages to the seeds that are not known to live, so that groups which
@@ -81,6 +86,13 @@
   std::vector<Member> mJoined;
 };
 
+/// @brief The load of another data centre.
+struct ReceivedSum
+{
+  state::TimePoint mSummed;
+  DataCentreLoads mSum;
+};
+
 /// @brief Membership, dissemination and reads of one instance: events and a
 /// time in, actions out.
 struct FleetCore
@@ -92,11 +104,15 @@
   StoreReader mReader;
   bool mPulling = false;
   state::TimePoint mNextLocal;
+  state::TimePoint mNextFar;
   state::TimePoint mNextSeed;
   state::TimePoint mNextSum;
   state::TimePoint mNextRemote;
   /// This instance's loads and silent upstreams, for the next messages.
   std::vector<TokenLoad> mLoads;
+  /// Requests at work per slot of the upstreams that this instance chooses
+  /// from.
+  double mNearUse = 0;
   std::vector<flows::FlowToken> mSilent;
   std::vector<flows::FlowToken> mUnanswering;
   /// Upstreams that have answered a probe of this instance, and when it was
@@ -106,10 +122,8 @@
   std::map<state::Endpoint, std::vector<TokenLoad>> mPeerLoads;
   /// Upstreams that local peers get no answer from, as they last told.
   std::map<state::Endpoint, std::vector<flows::FlowToken>> mPeerUnanswering;
-  /// Last sums of other data centres, with the time at which they were made.
-  std::map<state::DataCentreId,
-           std::pair<state::TimePoint, std::vector<TokenLoad>>>
-    mSums;
+  /// Last sums of other data centres.
+  std::map<state::DataCentreId, ReceivedSum> mSums;
   /// Upstreams that peers have found silent or alive; for the owner to take.
   std::set<flows::FlowToken> mPeerSilence;
   std::set<flows::FlowToken> mPeerProven;
@@ -179,6 +193,13 @@
 std::map<flows::FlowToken, flows::UpstreamLoad>
 PeerLoads(const FleetCore& aCore);
 
+/// @brief Returns how busy other data centres are whose loads are not known by
+/// upstream.
+/// @param aCore the core
+/// @return requests at work per slot
+std::map<state::DataCentreId, double>
+MeanUses(const FleetCore& aCore);
+
 } // namespace sassafrasknot::fleet
 
 #endif
--- a/include/sassafrasknot/fleet/fleet_message.hpp
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -30,13 +30,18 @@
   auto operator<=>(const TokenLoad&) const = default;
 };
 
-/// @brief The loads of all instances of a data centre.
+/// @brief The load of all instances of a data centre: by upstream in a small
+/// one, and on average where the instances divide the upstreams.
 struct DataCentreLoads
 {
   state::DataCentreId mDataCentre;
   /// How long ago they were summed.
   state::Duration mAge{ 0 };
   std::vector<TokenLoad> mLoads;
+  /// Requests at work per slot of the data centre's upstreams.
+  std::optional<double> mMeanUse;
+
+  auto operator<=>(const DataCentreLoads&) const = default;
 };
 
 /// @brief A datagram between two instances.
@@ -49,7 +54,8 @@
   /// if it never did.
   std::optional<state::Duration> mConfirmedAge;
   std::vector<ToldMember> mMembers;
-  /// Present in messages within a data centre.
+  /// Present in messages within a data centre; empty in those to instances that
+  /// do not choose the same upstreams.
   std::optional<std::vector<TokenLoad>> mLoads;
   /// Sums by data centre: the sender's own one in messages between data
   /// centres, all others in messages within one.
--- a/include/sassafrasknot/fleet/peers.hpp
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLEET_PEERS_HPP
 #define SASSAFRASKNOT_FLEET_PEERS_HPP
 
+#include "sassafrasknot/flows/subset.hpp"
 #include "sassafrasknot/state/endpoint.hpp"
 #include "sassafrasknot/state/identifiers.hpp"
 #include "sassafrasknot/state/time.hpp"
@@ -91,6 +92,30 @@
 std::vector<const Peer*>
 LocalPeers(const Peers& aPeers, state::TimePoint aNow);
 
+/// @brief Returns this instance's place among the live ones of its data centre,
+/// in order of their endpoints.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return the place
+flows::FleetPlace
+LocalPlace(const Peers& aPeers, state::TimePoint aNow);
+
+/// @brief The live peers of this instance's data centre.
+struct Neighbourhood
+{
+  /// Peers that may choose the same upstreams, and are told all loads; all
+  /// peers in a small data centre.
+  std::vector<const Peer*> mNear;
+  std::vector<const Peer*> mFar;
+};
+
+/// @brief Divides the live peers of this instance's data centre.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return the peers
+Neighbourhood
+FindNeighbours(const Peers& aPeers, state::TimePoint aNow);
+
 /// @brief Returns the live peers of other data centres.
 /// @param aPeers the peers
 /// @param aNow the time
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -106,8 +106,8 @@
   std::vector<LivenessChange> mLivenessChanges;
   /// Upstreams whose silence has just been found.
   std::vector<FlowToken> mNewlySilent;
-  /// Other instances of this data centre.
-  std::size_t mLocalPeers = 0;
+  /// Place among the instances of this data centre.
+  FleetPlace mPlace;
   state::TimePoint mLastTick;
   /// When the newest packet was sent on that any upstream has answered.
   state::TimePoint mProof;
@@ -130,6 +130,12 @@
             std::shared_ptr<const Directory> aDirectory,
             state::TimePoint aNow);
 
+/// @brief Takes over this instance's place among those of its data centre.
+/// @param aRouter the router
+/// @param aPlace the place
+void
+OnPlace(FlowRouter& aRouter, const FleetPlace& aPlace);
+
 /// @brief Decides on a packet.
 /// @param aRouter the router
 /// @param aPacket the packet
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <random>
-#include <span>
 
 namespace sassafrasknot::flows {
 
@@ -27,13 +26,12 @@
   /// Difference between an upstream without flows and one with its fair share
   /// of them, so that flows spread when nothing else tells upstreams apart.
   double mSpread = 0.05;
-  /// With more local peers than this, their reports are older than a request,
-  /// and instances that all chose the cheapest upstream would meet there.
-  std::size_t mFewPeers = 4;
-  /// Upstreams compared then: some at random of the own data centre, and some
-  /// of all others (the power of two choices).
-  std::size_t mLocalChoices = 2;
-  std::size_t mRemoteChoices = 1;
+  /// Upstreams of other data centres that are compared where the data centre's
+  /// upstreams are divided, and upstreams of the own one if none of the own
+  /// subset answers. Little is known of either, so that all instances that took
+  /// the cheapest would meet there.
+  std::size_t mFarChoices = 1;
+  std::size_t mNearChoices = 2;
 };
 
 /// @brief What is to be placed.
@@ -44,8 +42,6 @@
   state::DataCentreId mDataCentre;
   /// Upstream that has just left the flow without an answer.
   FlowToken mAvoid = kNoToken;
-  /// Other instances of this data centre.
-  std::size_t mLocalPeers = 0;
 };
 
 /// @brief Returns the mean wait at an upstream, in units of the mean work time:
@@ -58,15 +54,16 @@
 ExpectedWait(double aUse, std::uint32_t aSlots);
 
 /// @brief Chooses the upstream of a new flow: the cheapest one that takes new
-/// flows, or the cheapest of a few, at random among equals.
-/// @param aUpstreams the service's upstreams
+/// flows, at random among equals. Where the data centre's upstreams are
+/// divided, it is the cheapest of this instance's subset and of a few others.
+/// @param aPool the service's upstreams
 /// @param aRequest what is placed
 /// @param aPolicy weights
 /// @param aRandom random numbers
 /// @param aNow the time
 /// @return the upstream, or null if none takes new flows
 UpstreamRecord*
-ChooseUpstream(std::span<UpstreamRecord* const> aUpstreams,
+ChooseUpstream(const ServicePool& aPool,
                const PlacementRequest& aRequest,
                const PlacementPolicy& aPolicy,
                std::minstd_rand& aRandom,
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -3,6 +3,8 @@
 
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/flows/silence.hpp"
+#include "sassafrasknot/flows/subset.hpp"
+#include "sassafrasknot/state/identifiers.hpp"
 #include "sassafrasknot/state/time.hpp"
 
 #include <chrono>
@@ -42,17 +44,32 @@
   UpstreamLoad mPeers;
   /// All requests at work, averaged over kBusyAverage.
   double mBusy = 0;
+  /// Requests at work per slot in its data centre, where nothing is known of
+  /// the upstream itself.
+  double mAssumedUse = 0;
 };
 
 /// Time over which the number of requests at work is averaged: some ten
 /// requests long, and longer than the reports of other data centres are apart.
 constexpr std::chrono::milliseconds kBusyAverage{ 1000 };
 
+/// @brief The upstreams of one service that may take new flows.
+struct ServicePool
+{
+  std::vector<UpstreamRecord*> mAll;
+  /// Upstreams of this data centre that this instance chooses among.
+  std::vector<UpstreamRecord*> mNear;
+  /// Upstreams of other data centres.
+  std::vector<UpstreamRecord*> mFar;
+  /// Whether mNear is a subset of this instance's own.
+  bool mIsDivided = false;
+};
+
 /// @brief All upstreams that packets may name, found by token or by service.
 struct UpstreamTable
 {
   std::unordered_map<FlowToken, UpstreamRecord> mByToken;
-  std::map<std::string, std::vector<UpstreamRecord*>, std::less<>> mByService;
+  std::map<std::string, ServicePool, std::less<>> mByService;
 };
 
 /// @brief Takes over a new directory. Upstreams that are no longer in it stay
@@ -65,6 +82,33 @@
             const Directory& aDirectory,
             state::TimePoint aNow);
 
+/// @brief Forms the pools of services anew.
+/// @param aTable the table
+/// @param aDataCentre data centre of this instance
+/// @param aPlace its place there
+void
+FormPools(UpstreamTable& aTable,
+          const state::DataCentreId& aDataCentre,
+          const FleetPlace& aPlace);
+
+/// @brief Takes over what other instances have told.
+/// @param aTable the table
+/// @param aLoads loads of other instances' flows; upstreams that are not named
+/// have none
+/// @param aMeanUses requests at work per slot of data centres whose loads are
+/// not known by upstream
+void
+UsePeerLoads(UpstreamTable& aTable,
+             const std::map<FlowToken, UpstreamLoad>& aLoads,
+             const std::map<state::DataCentreId, double>& aMeanUses);
+
+/// @brief Returns the requests at work per slot among the upstreams that this
+/// instance chooses from.
+/// @param aTable the table
+/// @return the use, 0 without upstreams
+double
+NearUse(const UpstreamTable& aTable);
+
 /// @brief Advances the averages of requests at work.
 /// @param aTable the table
 /// @param aElapsed time since the last call
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -158,8 +158,9 @@
   }
   PublishDirectory();
   if (std::exchange(mLoadNews, false)) {
-    mTraffic.UsePeerLoads(fleet::PeerLoads(mCore),
-                          fleet::LocalPeers(mCore.mPeers, now).size());
+    mTraffic.UsePeerLoads({ fleet::PeerLoads(mCore),
+                            fleet::MeanUses(mCore),
+                            fleet::LocalPlace(mCore.mPeers, now) });
   }
   if (auto silent = std::exchange(mCore.mPeerSilence, {}); !silent.empty()) {
     mTraffic.UsePeerSilence(std::move(silent));
@@ -279,6 +280,7 @@
 ControlLoop::OnTrafficReport(TrafficReport aReport)
 {
   mCore.mLoads = aReport.mLoads;
+  mCore.mNearUse = aReport.mNearUse;
   mCore.mSilent = aReport.mSilent;
   mCore.mUnanswering = aReport.mUnanswering;
   mTrafficReport = std::move(aReport);
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -17,6 +17,10 @@
 /// are reported to the control thread: the shortest period of messages within a
 /// data centre.
 constexpr milliseconds kTick{ 25 };
+/// A report looks at all upstreams. With more of them than this it is made less
+/// often, as are the messages that it is for.
+constexpr std::size_t kLargeTable = 250;
+constexpr milliseconds kLargeReportPeriod{ 75 };
 /// Longest datagram of a caller: a header and 1,200 bytes of data, with room
 /// for headers of other lengths.
 constexpr std::size_t kLargestPacket = 2048;
@@ -110,17 +114,11 @@
 }
 
 void
-TrafficLoop::UsePeerLoads(
-  std::map<flows::FlowToken, flows::UpstreamLoad> aLoads,
-  std::size_t aLocalPeers)
+TrafficLoop::UsePeerLoads(PeerView aView)
 {
-  boost::asio::post(mContext, [this, loads = std::move(aLoads), aLocalPeers] {
-    mRouter.mLocalPeers = aLocalPeers;
-    for (auto& [token, record] : mRouter.mUpstreams.mByToken) {
-      const auto found = loads.find(token);
-      record.mPeers =
-        found == loads.end() ? flows::UpstreamLoad{} : found->second;
-    }
+  boost::asio::post(mContext, [this, view = std::move(aView)] {
+    flows::OnPlace(mRouter, view.mPlace);
+    flows::UsePeerLoads(mRouter.mUpstreams, view.mLoads, view.mMeanUses);
   });
 }
 
@@ -163,7 +161,11 @@
   const auto now = Clock::now();
   flows::OnTick(mRouter, now);
   HandleChanges();
-  Report(now);
+  if (now >= mNextReport) {
+    const bool isLarge = mRouter.mUpstreams.mByToken.size() > kLargeTable;
+    mNextReport = now + (isLarge ? kLargeReportPeriod : kTick);
+    Report(now);
+  }
 }
 
 void
@@ -187,6 +189,7 @@
     mNextDump = aNow + kDumpPeriod;
     mDump = DumpUpstreams(mRouter, aNow);
   }
+  report.mNearUse = flows::NearUse(mRouter.mUpstreams);
   report.mUpstreams = mDump;
   report.mFlows = mRouter.mFlows.size();
   report.mQuiet = aNow - mLastPacket;
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -31,6 +31,9 @@
   std::vector<fleet::TokenLoad> mLoads;
   /// Upstreams that this instance itself has found silent.
   std::vector<flows::FlowToken> mSilent;
+  /// Requests at work per slot of the upstreams that this instance chooses
+  /// from.
+  double mNearUse = 0;
   /// All upstreams that are suspected or silent.
   std::vector<flows::FlowToken> mUnanswering;
   std::size_t mFlows = 0;
@@ -40,6 +43,16 @@
   std::shared_ptr<const std::string> mUpstreams;
 };
 
+/// What the control thread tells the traffic thread of other instances.
+struct PeerView
+{
+  std::map<flows::FlowToken, flows::UpstreamLoad> mLoads;
+  /// Requests at work per slot of other data centres whose loads are not known
+  /// by upstream.
+  std::map<state::DataCentreId, double> mMeanUses;
+  flows::FleetPlace mPlace;
+};
+
 /// Forwards callers' packets on a thread of its own.
 class TrafficLoop
 {
@@ -61,8 +74,7 @@
 
   /// The following may be called from any thread.
   void UseDirectory(std::shared_ptr<const flows::Directory> aDirectory);
-  void UsePeerLoads(std::map<flows::FlowToken, flows::UpstreamLoad> aLoads,
-                    std::size_t aLocalPeers);
+  void UsePeerLoads(PeerView aView);
   void UsePeerSilence(std::set<flows::FlowToken> aTokens);
   /// Upstreams that answer a probe sent at aSent.
   void UseProven(std::set<flows::FlowToken> aTokens, state::TimePoint aSent);
@@ -90,6 +102,7 @@
   flows::FlowRouter mRouter;
   state::TimePoint mLastPacket;
   state::TimePoint mNextDump;
+  state::TimePoint mNextReport;
   std::shared_ptr<const std::string> mDump;
   /// Packets that came before the first directory.
   std::vector<std::vector<std::uint8_t>> mHeld;
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -3,13 +3,11 @@
 #include <algorithm>
 #include <iterator>
 
+#include "load_exchange.hpp"
+
 namespace sassafrasknot::fleet {
 namespace {
 
-/// How long an answer to a probe is told: a few periods of messages, so that
-/// one may be lost, and less than the pause between probes.
-constexpr std::chrono::milliseconds kProvenTold{ 500 };
-
 std::size_t
 ValueBytes(const ChangeSet& aChanges)
 {
@@ -20,18 +18,6 @@
   return bytes;
 }
 
-FleetMessage
-ComposeMessage(const FleetCore& aCore, state::TimePoint aNow)
-{
-  FleetMessage message;
-  message.mSender = aCore.mPeers.mSelf;
-  message.mRevision = aCore.mCatalogue.mRevision;
-  if (aCore.mReader.mEverConfirmed) {
-    message.mConfirmedAge = aNow - aCore.mReader.mConfirmed;
-  }
-  return message;
-}
-
 std::vector<ToldMember>
 SampleMembers(FleetCore& aCore, state::TimePoint aNow)
 {
@@ -57,96 +43,6 @@
   return aPeers;
 }
 
-using LoadsByToken = std::map<flows::FlowToken, flows::UpstreamLoad>;
-
-void
-AddLoads(LoadsByToken& aSums, const std::vector<TokenLoad>& aLoads)
-{
-  for (const auto& load : aLoads) {
-    auto& sum = aSums[load.mToken];
-    sum.mFeeds += load.mLoad.mFeeds;
-    sum.mAtWork += load.mLoad.mAtWork;
-  }
-}
-
-/// Loads of the other instances of this data centre.
-LoadsByToken
-SumLocalLoads(const FleetCore& aCore)
-{
-  LoadsByToken sums;
-  for (const auto& [endpoint, loads] : aCore.mPeerLoads) {
-    AddLoads(sums, loads);
-  }
-  return sums;
-}
-
-void
-Send(FleetActions& aActions,
-     FleetMessage aMessage,
-     const std::vector<const Peer*>& aPeers)
-{
-  if (aPeers.empty()) {
-    return;
-  }
-  Sending sending{ std::move(aMessage), {} };
-  for (const auto* peer : aPeers) {
-    sending.mReceivers.push_back(peer->mMember.mEndpoint);
-  }
-  aActions.mSend.push_back(std::move(sending));
-}
-
-void
-SendLocal(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
-{
-  auto message = ComposeMessage(aCore, aNow);
-  message.mLoads = aCore.mLoads;
-  message.mSilent = aCore.mSilent;
-  message.mUnanswering = aCore.mUnanswering;
-  std::erase_if(aCore.mProven, [&](const auto& aItem) {
-    return aNow - aItem.second > kProvenTold;
-  });
-  for (const auto& [token, sent] : aCore.mProven) {
-    message.mProven.push_back(token);
-  }
-  if (LocalRank(aCore.mPeers, aNow) == 0) {
-    for (const auto& [dataCentre, sum] : aCore.mSums) {
-      message.mSums.push_back({ dataCentre, aNow - sum.first, sum.second });
-    }
-  }
-  Send(aActions, std::move(message), LocalPeers(aCore.mPeers, aNow));
-}
-
-/// All peers of a data centre get each message. Its period grows with their
-/// number, so that an instance's messages per second stay bounded.
-state::Duration
-LocalPeriod(const FleetCore& aCore, state::TimePoint aNow)
-{
-  const auto& policy = aCore.mSettings.mPolicy;
-  const auto peers =
-    static_cast<std::int64_t>(LocalPeers(aCore.mPeers, aNow).size());
-  return std::clamp<state::Duration>(peers * policy.mLocalPeriodPerPeer,
-                                     policy.mLocalPeriod,
-                                     policy.mLongestLocalPeriod);
-}
-
-/// Tells the speaker of each other data centre the loads of this one.
-void
-SendSum(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
-{
-  if (LocalRank(aCore.mPeers, aNow) != 0) {
-    return;
-  }
-  auto sums = SumLocalLoads(aCore);
-  AddLoads(sums, aCore.mLoads);
-  DataCentreLoads sum{ aCore.mPeers.mSelf.mDataCentre, {}, {} };
-  for (const auto& [token, load] : sums) {
-    sum.mLoads.push_back({ token, load });
-  }
-  auto message = ComposeMessage(aCore, aNow);
-  message.mSums.push_back(std::move(sum));
-  Send(aActions, std::move(message), RemoteSpeakers(aCore.mPeers, aNow));
-}
-
 /// Sends members to one instance of another data centre and to one of this
 /// data centre.
 void
@@ -206,6 +102,34 @@
   }
 }
 
+/// Takes the changes of a message, or asks its sender for those that lack here.
+void
+NoteRevision(FleetCore& aCore,
+             FleetActions& aActions,
+             const FleetMessage& aMessage,
+             state::TimePoint aNow)
+{
+  const auto& sender = aMessage.mSender;
+  if (aMessage.mChanges) {
+    const auto before = aCore.mCatalogue.mRevision;
+    TakeChanges(aCore, aActions, *aMessage.mChanges);
+    const bool isRemote = sender.mDataCentre != aCore.mPeers.mSelf.mDataCentre;
+    if (isRemote && !aActions.mChanged.empty() && before != 0 &&
+        LocalRank(aCore.mPeers, aNow) == 0) {
+      SpreadChanges(aCore, aActions, before, false, aNow);
+    }
+  }
+  const auto revision = aCore.mCatalogue.mRevision;
+  if (aMessage.mRevision > revision && !aCore.mPulling) {
+    aCore.mPulling = true;
+    aActions.mPull = PullRequest{ sender.mEndpoint, revision };
+  }
+  if (aMessage.mRevision == revision && revision != 0 &&
+      aMessage.mConfirmedAge) {
+    NoteConfirmed(aCore.mReader, *aMessage.mConfirmedAge, aNow);
+  }
+}
+
 } // namespace
 
 FleetCore
@@ -224,10 +148,7 @@
 {
   FleetActions actions;
   const auto& policy = aCore.mSettings.mPolicy;
-  if (aNow >= aCore.mNextLocal) {
-    aCore.mNextLocal = aNow + LocalPeriod(aCore, aNow);
-    SendLocal(aCore, actions, aNow);
-  }
+  SendLocal(aCore, actions, aNow);
   if (aNow >= aCore.mNextSeed) {
     const bool isAlone = LocalPeers(aCore.mPeers, aNow).empty() &&
                          RemotePeers(aCore.mPeers, aNow).empty();
@@ -238,21 +159,12 @@
   if (aNow >= aCore.mNextSum) {
     aCore.mNextSum = aNow + policy.mSumPeriod;
     SendSum(aCore, actions, aNow);
-    std::erase_if(aCore.mSums, [&](const auto& aEntry) {
-      return aNow - aEntry.second.first > kDeadAfter;
-    });
   }
   if (aNow >= aCore.mNextRemote) {
     aCore.mNextRemote = aNow + policy.mRemotePeriod;
     ForgetDead(aCore.mPeers, aNow);
     SendRemote(aCore, actions, aNow);
-    const auto isDead = [&](const auto& aEntry) {
-      const auto found = aCore.mPeers.mPeers.find(aEntry.first);
-      return found == aCore.mPeers.mPeers.end() ||
-             !IsAlive(found->second, aNow);
-    };
-    std::erase_if(aCore.mPeerLoads, isDead);
-    std::erase_if(aCore.mPeerUnanswering, isDead);
+    ForgetLoads(aCore, aNow);
   }
   actions.mRead = NextRead(aCore.mReader,
                            ReaderRank(aCore.mPeers, aNow),
@@ -279,40 +191,10 @@
     reply.mMembers = SampleMembers(aCore, aNow);
     actions.mSend.push_back({ std::move(reply), { sender.mEndpoint } });
   }
-  if (aMessage.mLoads) {
-    // Messages with loads come from local peers.
-    aCore.mPeerLoads[sender.mEndpoint] = *aMessage.mLoads;
-    aCore.mPeerUnanswering[sender.mEndpoint] = aMessage.mUnanswering;
-  }
-  for (const auto& sum : aMessage.mSums) {
-    if (sum.mDataCentre != aCore.mPeers.mSelf.mDataCentre) {
-      auto& [time, loads] = aCore.mSums[sum.mDataCentre];
-      if (const auto summed = aNow - sum.mAge; summed > time) {
-        time = summed;
-        loads = sum.mLoads;
-      }
-    }
-  }
+  NoteLoads(aCore, aMessage, aNow);
   aCore.mPeerProven.insert(aMessage.mProven.begin(), aMessage.mProven.end());
   aCore.mPeerSilence.insert(aMessage.mSilent.begin(), aMessage.mSilent.end());
-  if (aMessage.mChanges) {
-    const auto before = aCore.mCatalogue.mRevision;
-    TakeChanges(aCore, actions, *aMessage.mChanges);
-    const bool isRemote = sender.mDataCentre != aCore.mPeers.mSelf.mDataCentre;
-    if (isRemote && !actions.mChanged.empty() && before != 0 &&
-        LocalRank(aCore.mPeers, aNow) == 0) {
-      SpreadChanges(aCore, actions, before, false, aNow);
-    }
-  }
-  const auto revision = aCore.mCatalogue.mRevision;
-  if (aMessage.mRevision > revision && !aCore.mPulling) {
-    aCore.mPulling = true;
-    actions.mPull = PullRequest{ sender.mEndpoint, revision };
-  }
-  if (aMessage.mRevision == revision && revision != 0 &&
-      aMessage.mConfirmedAge) {
-    NoteConfirmed(aCore.mReader, *aMessage.mConfirmedAge, aNow);
-  }
+  NoteRevision(aCore, actions, aMessage, aNow);
   return actions;
 }
 
@@ -367,14 +249,4 @@
   return { tokens.begin(), tokens.end() };
 }
 
-std::map<flows::FlowToken, flows::UpstreamLoad>
-PeerLoads(const FleetCore& aCore)
-{
-  auto loads = SumLocalLoads(aCore);
-  for (const auto& [dataCentre, sum] : aCore.mSums) {
-    AddLoads(loads, sum.second);
-  }
-  return loads;
-}
-
 } // namespace sassafrasknot::fleet
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace sassafrasknot::fleet {
 namespace {
@@ -99,6 +100,37 @@
   return Select(aPeers, aNow, true);
 }
 
+flows::FleetPlace
+LocalPlace(const Peers& aPeers, state::TimePoint aNow)
+{
+  const auto peers = LocalPeers(aPeers, aNow);
+  const auto before =
+    std::ranges::count_if(peers, [&aPeers](const Peer* aPeer) {
+      return aPeer->mMember.mEndpoint < aPeers.mSelf.mEndpoint;
+    });
+  return { static_cast<std::size_t>(before), peers.size() + 1 };
+}
+
+Neighbourhood
+FindNeighbours(const Peers& aPeers, state::TimePoint aNow)
+{
+  auto peers = LocalPeers(aPeers, aNow);
+  const auto place = LocalPlace(aPeers, aNow);
+  if (!flows::IsDivided(place.mCount)) {
+    return { std::move(peers), {} };
+  }
+  Neighbourhood neighbours;
+  for (std::size_t index = 0; index < peers.size(); ++index) {
+    // The places before this instance's own one are not shifted by it.
+    const auto other = index < place.mIndex ? index : index + 1;
+    const auto distance = (other + place.mCount - place.mIndex) % place.mCount;
+    const bool isNear =
+      std::min(distance, place.mCount - distance) <= flows::kSharers;
+    (isNear ? neighbours.mNear : neighbours.mFar).push_back(peers[index]);
+  }
+  return neighbours;
+}
+
 std::vector<const Peer*>
 RemotePeers(const Peers& aPeers, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -75,14 +75,12 @@
   const auto found = aRouter.mUpstreams.mByService.find(service);
   UpstreamRecord* record = nullptr;
   if (found != aRouter.mUpstreams.mByService.end()) {
-    record = ChooseUpstream(found->second,
-                            { aRoute.mKind,
-                              aRouter.mSettings.mDataCentre,
-                              aAvoid,
-                              aRouter.mLocalPeers },
-                            aRouter.mSettings.mPolicy,
-                            aRouter.mRandom,
-                            aNow);
+    record =
+      ChooseUpstream(found->second,
+                     { aRoute.mKind, aRouter.mSettings.mDataCentre, aAvoid },
+                     aRouter.mSettings.mPolicy,
+                     aRouter.mRandom,
+                     aNow);
   }
   Forget(aRouter, aPacket.mFlow);
   if (record == nullptr) {
@@ -242,6 +240,16 @@
 {
   aRouter.mDirectory = std::move(aDirectory);
   UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
+  FormPools(aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aRouter.mPlace);
+}
+
+void
+OnPlace(FlowRouter& aRouter, const FleetPlace& aPlace)
+{
+  if (aRouter.mPlace != aPlace) {
+    aRouter.mPlace = aPlace;
+    FormPools(aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aPlace);
+  }
 }
 
 Decision
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <span>
 #include <vector>
 
 namespace sassafrasknot::flows {
@@ -53,7 +54,8 @@
   const double meanFeeds = (aService.mFeeds + 1) / aService.mSlots;
   const double share = FeedsOf(aRecord) / slots / meanFeeds;
   const double predicted = share * aService.mBusy / aService.mSlots;
-  const double use = (aRecord.mBusy / slots + predicted) / 2;
+  const double use =
+    std::max((aRecord.mBusy / slots + predicted) / 2, aRecord.mAssumedUse);
   return ExpectedWait(use, aRecord.mUpstream.mSlots) + aPolicy.mSpread * share;
 }
 
@@ -62,7 +64,7 @@
 RequestCost(const UpstreamRecord& aRecord)
 {
   const double atWork = aRecord.mOwn.mAtWork + aRecord.mPeers.mAtWork;
-  return atWork / aRecord.mUpstream.mSlots;
+  return std::max(atWork / aRecord.mUpstream.mSlots, aRecord.mAssumedUse);
 }
 
 double
@@ -130,6 +132,29 @@
   return candidates;
 }
 
+/// Adds upstreams of other data centres that answer, at random.
+void
+AddFarChoices(std::vector<UpstreamRecord*>& aCandidates,
+              const ServicePool& aPool,
+              const PlacementRequest& aRequest,
+              const PlacementPolicy& aPolicy,
+              std::minstd_rand& aRandom,
+              state::TimePoint aNow)
+{
+  // A data centre that is cut off leaves the upstreams of the others.
+  constexpr std::size_t kDrawsPerChoice = 4;
+  std::size_t wanted = aPolicy.mFarChoices;
+  auto draws = aPool.mFar.empty() ? 0 : wanted * kDrawsPerChoice;
+  for (; wanted > 0 && draws > 0; --draws) {
+    auto* record = aPool.mFar[aRandom() % aPool.mFar.size()];
+    if (TakesFlows(*record) &&
+        FitnessOf(*record, aRequest, aNow) == Fitness::Good) {
+      aCandidates.push_back(record);
+      --wanted;
+    }
+  }
+}
+
 /// Keeps the first candidates of this data centre and of others.
 void
 Thin(std::vector<UpstreamRecord*>& aCandidates,
@@ -140,11 +165,39 @@
   std::size_t remote = 0;
   std::erase_if(aCandidates, [&](const UpstreamRecord* aRecord) {
     const bool isLocal = aRecord->mUpstream.mDataCentre == aRequest.mDataCentre;
-    return isLocal ? ++local > aPolicy.mLocalChoices
-                   : ++remote > aPolicy.mRemoteChoices;
+    return isLocal ? ++local > aPolicy.mNearChoices
+                   : ++remote > aPolicy.mFarChoices;
   });
 }
 
+/// Returns upstreams to compare, in random order.
+std::vector<UpstreamRecord*>
+Candidates(const ServicePool& aPool,
+           const PlacementRequest& aRequest,
+           const PlacementPolicy& aPolicy,
+           std::minstd_rand& aRandom,
+           state::TimePoint aNow)
+{
+  if (!aPool.mIsDivided) {
+    auto candidates = FittestCandidates(aPool.mAll, aRequest, aNow);
+    std::ranges::shuffle(candidates, aRandom);
+    return candidates;
+  }
+  auto candidates = FittestCandidates(aPool.mNear, aRequest, aNow);
+  const bool isGood =
+    !candidates.empty() &&
+    FitnessOf(*candidates.front(), aRequest, aNow) == Fitness::Good;
+  if (!isGood) {
+    candidates = FittestCandidates(aPool.mAll, aRequest, aNow);
+    std::ranges::shuffle(candidates, aRandom);
+    Thin(candidates, aRequest, aPolicy);
+    return candidates;
+  }
+  AddFarChoices(candidates, aPool, aRequest, aPolicy, aRandom, aNow);
+  std::ranges::shuffle(candidates, aRandom);
+  return candidates;
+}
+
 } // namespace
 
 double
@@ -167,22 +220,16 @@
 }
 
 UpstreamRecord*
-ChooseUpstream(std::span<UpstreamRecord* const> aUpstreams,
+ChooseUpstream(const ServicePool& aPool,
                const PlacementRequest& aRequest,
                const PlacementPolicy& aPolicy,
                std::minstd_rand& aRandom,
                state::TimePoint aNow)
 {
-  auto candidates = FittestCandidates(aUpstreams, aRequest, aNow);
-  // Equal ones are chosen alike often, and the first ones are a sample.
-  std::ranges::shuffle(candidates, aRandom);
-  if (aRequest.mLocalPeers > aPolicy.mFewPeers) {
-    Thin(candidates, aRequest, aPolicy);
-  }
-  const auto service = SumLoad(aUpstreams);
+  const auto service = SumLoad(aPool.mIsDivided ? aPool.mNear : aPool.mAll);
   UpstreamRecord* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
-  for (auto* record : candidates) {
+  for (auto* record : Candidates(aPool, aRequest, aPolicy, aRandom, aNow)) {
     const double cost = Cost(*record, service, aRequest, aPolicy, aNow);
     if (cost < bestCost) {
       best = record;
--- a/src/sassafrasknot/flows/placement_test.cpp
+++ b/src/sassafrasknot/flows/placement_test.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/flows/placement.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -21,19 +22,22 @@
 
   UpstreamRecord* Choose(RequestKind aKind = RequestKind::NonIdempotent)
   {
-    std::vector<UpstreamRecord*> pointers;
-    for (auto& record : mRecords) {
-      pointers.push_back(&record);
+    UpstreamTable table;
+    for (const auto& record : mRecords) {
+      table.mByToken[record.mToken] = record;
     }
-    return ChooseUpstream(pointers,
-                          { aKind, { "a" }, kNoToken, mLocalPeers },
-                          {},
-                          mRandom,
-                          At(milliseconds(0)));
+    FormPools(table, { "a" }, mPlace);
+    auto* chosen = ChooseUpstream(table.mByService["scheduling"],
+                                  { aKind, { "a" }, kNoToken },
+                                  {},
+                                  mRandom,
+                                  At(milliseconds(0)));
+    return &*std::ranges::find(
+      mRecords, chosen->mToken, &UpstreamRecord::mToken);
   }
 
   std::vector<UpstreamRecord> mRecords;
-  std::size_t mLocalPeers = 2;
+  FleetPlace mPlace{ 0, 3 };
   std::minstd_rand mRandom{ 5 };
 };
 
@@ -117,7 +121,7 @@
   for (std::size_t instance = 0; instance < aInstances; ++instance) {
     PlacementFixture fixture;
     fixture.mRandom.seed(static_cast<unsigned>(instance + 1));
-    fixture.mLocalPeers = aInstances - 1;
+    fixture.mPlace = { instance, aInstances };
     for (std::size_t index = 0; index < aUpstreams; ++index) {
       fixture.Add("i-" + std::to_string(index), "a");
       fixture.mRecords.back().mPeers.mAtWork = index == 0 ? 0 : 1;
@@ -139,6 +143,51 @@
   EXPECT_LE(FullestUpstream(20, 30), 8);
 }
 
+// The pattern of the sweep to 300 instances. Guards against instances that all
+// compare all upstreams, at a cost that grows with their number, and against
+// upstreams that get more than their share by it.
+TEST(Placement, DividedUpstreamsGetEqualSharesOfTheFlows)
+{
+  constexpr std::size_t kInstances = 30;
+  constexpr std::size_t kUpstreams = 60;
+  constexpr int kFlows = 40;
+  std::map<std::string, int> counts;
+  for (std::size_t instance = 0; instance < kInstances; ++instance) {
+    PlacementFixture fixture;
+    fixture.mPlace = { instance, kInstances };
+    for (std::size_t index = 0; index < kUpstreams; ++index) {
+      fixture.Add("i-" + std::to_string(index), "a");
+    }
+    std::set<std::string> used;
+    for (int flow = 0; flow < kFlows; ++flow) {
+      auto* upstream = fixture.Choose();
+      ++upstream->mOwn.mAtWork;
+      ++counts[upstream->mUpstream.mId];
+      used.insert(upstream->mUpstream.mId);
+    }
+    EXPECT_LE(used.size(), kSharers * kUpstreams / kInstances + 1);
+  }
+  constexpr int kMean = kFlows * kInstances / kUpstreams;
+  EXPECT_EQ(counts.size(), kUpstreams);
+  for (const auto& [id, count] : counts) {
+    EXPECT_LE(count, kMean * 3 / 2) << id;
+  }
+}
+
+// Guards against requests that go to a busy data centre because nothing is
+// known of its upstreams.
+TEST(Placement, TheMeanUseStandsInForUnknownLoads)
+{
+  PlacementFixture fixture;
+  fixture.Add("i-1", "a");
+  fixture.Add("i-2", "b");
+  fixture.mRecords[0].mOwn.mAtWork = 3;
+  fixture.mRecords[1].mAssumedUse = 1.5;
+  EXPECT_EQ(fixture.Choose()->mUpstream.mId, "i-1");
+  fixture.mRecords[1].mAssumedUse = 0.5;
+  EXPECT_EQ(fixture.Choose()->mUpstream.mId, "i-2");
+}
+
 // Guards against an approximation that is not monotonic, which would send flows
 // to the fuller of two upstreams.
 TEST(Placement, ExpectedWaitGrowsWithUse)
--- /dev/null
+++ b/src/sassafrasknot/flows/subset.cpp
@@ -0,0 +1,25 @@
+#include "sassafrasknot/flows/subset.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafrasknot::flows {
+
+bool
+IsInSubset(const FleetPlace& aPlace,
+           std::size_t aUpstream,
+           std::size_t aUpstreams)
+{
+  if (!IsDivided(aPlace.mCount)) {
+    return true;
+  }
+  const auto instances = static_cast<double>(aPlace.mCount);
+  const auto upstreams = static_cast<double>(aUpstreams);
+  const double arc = std::max(kSharers / instances, kFewestChoices / upstreams);
+  const double distance =
+    std::abs((static_cast<double>(aPlace.mIndex) + 0.5) / instances -
+             (static_cast<double>(aUpstream) + 0.5) / upstreams);
+  return std::min(distance, 1 - distance) <= arc / 2;
+}
+
+} // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <unordered_set>
+#include <utility>
 
 namespace sassafrasknot::flows {
 namespace {
@@ -59,7 +60,6 @@
       Take(record, token, entry, aNow);
     }
   }
-  aTable.mByService.clear();
   for (auto it = aTable.mByToken.begin(); it != aTable.mByToken.end();) {
     auto& record = it->second;
     if (!listed.contains(it->first)) {
@@ -70,21 +70,79 @@
         it = aTable.mByToken.erase(it);
         continue;
       }
-    } else {
-      aTable.mByService[record.mUpstream.mService].push_back(&record);
     }
     ++it;
   }
 }
 
+void
+FormPools(UpstreamTable& aTable,
+          const state::DataCentreId& aDataCentre,
+          const FleetPlace& aPlace)
+{
+  aTable.mByService.clear();
+  for (auto& [token, record] : aTable.mByToken) {
+    if (record.mPresence != Presence::Gone) {
+      auto& pool = aTable.mByService[record.mUpstream.mService];
+      pool.mAll.push_back(&record);
+      const bool isNear = record.mUpstream.mDataCentre == aDataCentre;
+      (isNear ? pool.mNear : pool.mFar).push_back(&record);
+    }
+  }
+  if (!IsDivided(aPlace.mCount)) {
+    return;
+  }
+  for (auto& [service, pool] : aTable.mByService) {
+    pool.mIsDivided = true;
+    // Tokens are hashes, so that all instances have the same order.
+    std::ranges::sort(pool.mNear, {}, &UpstreamRecord::mToken);
+    const auto all = std::exchange(pool.mNear, {});
+    for (std::size_t index = 0; index < all.size(); ++index) {
+      if (IsInSubset(aPlace, index, all.size())) {
+        pool.mNear.push_back(all[index]);
+      }
+    }
+  }
+}
+
+void
+UsePeerLoads(UpstreamTable& aTable,
+             const std::map<FlowToken, UpstreamLoad>& aLoads,
+             const std::map<state::DataCentreId, double>& aMeanUses)
+{
+  for (auto& [token, record] : aTable.mByToken) {
+    const auto load = aLoads.find(token);
+    record.mPeers = load == aLoads.end() ? UpstreamLoad{} : load->second;
+    const auto use = aMeanUses.find(record.mUpstream.mDataCentre);
+    record.mAssumedUse = use == aMeanUses.end() ? 0 : use->second;
+  }
+}
+
+double
+NearUse(const UpstreamTable& aTable)
+{
+  double atWork = 0;
+  double slots = 0;
+  for (const auto& [service, pool] : aTable.mByService) {
+    for (const auto* record : pool.mNear) {
+      atWork += record->mOwn.mAtWork + record->mPeers.mAtWork;
+      slots += record->mUpstream.mSlots;
+    }
+  }
+  return slots == 0 ? 0 : atWork / slots;
+}
+
 void
 AverageBusy(UpstreamTable& aTable, state::Duration aElapsed)
 {
   const double weight =
     std::min(1.0, std::chrono::duration<double>(aElapsed) / kBusyAverage);
-  for (auto& [token, record] : aTable.mByToken) {
-    const double atWork = record.mOwn.mAtWork + record.mPeers.mAtWork;
-    record.mBusy += weight * (atWork - record.mBusy);
+  for (auto& [service, pool] : aTable.mByService) {
+    // Nothing but averages of upstreams that may be chosen is ever read.
+    for (auto* record : pool.mIsDivided ? pool.mNear : pool.mAll) {
+      const double atWork = record->mOwn.mAtWork + record->mPeers.mAtWork;
+      record->mBusy += weight * (atWork - record->mBusy);
+    }
   }
 }
 
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -14,6 +14,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr double kThousandths = 1000;
+
 state::Error
 Malformed(const char* aMessage)
 {
@@ -186,6 +188,10 @@
     wireSum.set_data_centre(sum.mDataCentre.mValue);
     wireSum.set_age_ms(ToMilliseconds(sum.mAge));
     ToWire(sum.mLoads, *wireSum.mutable_loads());
+    if (sum.mMeanUse) {
+      wireSum.set_mean_use_thousandths(
+        static_cast<std::uint32_t>(*sum.mMeanUse * kThousandths));
+    }
   }
   for (const auto token : aMessage.mSilent) {
     wire.add_silent(token);
@@ -241,7 +247,11 @@
     }
     message.mSums.push_back({ { sum.data_centre() },
                               milliseconds(sum.age_ms()),
-                              std::move(loads).value() });
+                              std::move(loads).value(),
+                              std::nullopt });
+    if (sum.has_mean_use_thousandths()) {
+      message.mSums.back().mMeanUse = sum.mean_use_thousandths() / kThousandths;
+    }
   }
   message.mSilent.assign(wire.silent().begin(), wire.silent().end());
   message.mUnanswering.assign(wire.unanswering().begin(),
--- a/src/sassafrasknot/messages/fleet_codec_test.cpp
+++ b/src/sassafrasknot/messages/fleet_codec_test.cpp
@@ -25,7 +25,7 @@
                          std::chrono::milliseconds(7) } };
   message.mLoads = std::vector{ fleet::TokenLoad{ 4, { 2, 1 } } };
   message.mSums = {
-    { { "b" }, std::chrono::milliseconds(3), { { 8, { 1, 0 } } } }
+    { { "b" }, std::chrono::milliseconds(3), { { 8, { 1, 0 } } }, 0.25 }
   };
   message.mSilent = { 1, 2 };
   message.mUnanswering = { 3 };
@@ -49,6 +49,7 @@
   EXPECT_EQ(result.mLoads, message.mLoads);
   ASSERT_EQ(result.mSums.size(), 1U);
   EXPECT_EQ(result.mSums[0].mLoads, message.mSums[0].mLoads);
+  EXPECT_EQ(result.mSums[0].mMeanUse, 0.25);
   EXPECT_EQ(result.mSilent, message.mSilent);
   EXPECT_EQ(result.mUnanswering, message.mUnanswering);
   EXPECT_EQ(result.mProven, message.mProven);
