Count missing answers together within 2 s only, and tell news of upstreams soon

Two packets without an answer made an upstream silent however far apart they were sent. Since upstreams are divided, an instance has few flows at most of them and sees few signs of their life in between.

And an answer to a probe is told for 500 ms, while messages to the other instances of a large data centre come each 1.15 s, so that some never heard it.

Change: evidence older than 2 s no longer counts with newer evidence. Changes of silent, unanswering and proven upstreams are told to all local peers within 100 ms.

Tests: Silence.LostPacketsFarApartDoNotMakeAnUpstreamSilent and LoadExchange.TellsAllLocalPeersSoonThatAnUpstreamIsProven fail without the change.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -4,6 +4,7 @@
 #include "sassafrasknot/fleet/fleet_message.hpp"
 #include "sassafrasknot/fleet/store_reader.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -30,6 +31,9 @@
   /// instance is taken for dead.
   std::chrono::milliseconds mFarPeriodPerPeer{ 20 };
   std::chrono::milliseconds mLongestFarPeriod{ 1150 };
+  /// They come this soon after a change of what is known of upstreams, since an
+  /// answer to a probe is told for 500 ms only.
+  std::chrono::milliseconds mFarNews{ 100 };
   /// Messages to the seeds while no peer is known.
   std::chrono::milliseconds mSeedPeriod{ 250 };
   /// Messages to the seeds until this instance knows a first state.
@@ -113,6 +117,9 @@
   std::optional<state::TimePoint> mStarted;
   state::TimePoint mNextLocal;
   state::TimePoint mNextFar;
+  state::TimePoint mLastFar;
+  /// Silent, unanswering and proven upstreams of the last such message.
+  std::array<std::vector<flows::FlowToken>, 3> mFarTold;
   state::TimePoint mNextSeed;
   state::TimePoint mNextSum;
   state::TimePoint mNextRemote;
--- a/include/sassafrasknot/flows/silence.hpp
+++ b/include/sassafrasknot/flows/silence.hpp
@@ -21,6 +21,10 @@
 /// Flows that did not come back to this instance and make an upstream
 /// suspected. They may have moved to another instance.
 constexpr std::uint32_t kSuspectedAfterUnseen = 2;
+/// Packets without an answer count together if they were sent within this time:
+/// several times that in which callers repeat one. An instance that has few
+/// flows at an upstream sees few signs of its life in between.
+constexpr std::chrono::milliseconds kEvidenceWindow{ 2000 };
 /// A sign of this age outweighs what other instances or other upstreams of the
 /// data centre tell; it covers the age of their news.
 constexpr std::chrono::milliseconds kFreshSign{ 300 };
--- a/src/sassafrasknot/fleet/load_exchange.cpp
+++ b/src/sassafrasknot/fleet/load_exchange.cpp
@@ -59,6 +59,19 @@
   return message;
 }
 
+/// Returns whether all local peers have to learn of upstreams soon.
+bool
+HasFarNews(const FleetCore& aCore, state::TimePoint aNow)
+{
+  const auto& [silent, unanswering, proven] = aCore.mFarTold;
+  const auto isTold = [&proven = proven](const auto& aItem) {
+    return std::ranges::find(proven, aItem.first) != proven.end();
+  };
+  return aNow - aCore.mLastFar >= aCore.mSettings.mPolicy.mFarNews &&
+         (aCore.mSilent != silent || aCore.mUnanswering != unanswering ||
+          !std::ranges::all_of(aCore.mProven, isTold));
+}
+
 /// The periods grow with the number of receivers, so that an instance's
 /// messages per second stay bounded.
 state::Duration
@@ -113,7 +126,7 @@
 SendLocal(FleetCore& aCore, FleetActions& aActions, state::TimePoint aNow)
 {
   const bool isNearDue = aNow >= aCore.mNextLocal;
-  const bool isFarDue = aNow >= aCore.mNextFar;
+  const bool isFarDue = aNow >= aCore.mNextFar || HasFarNews(aCore, aNow);
   if (!isNearDue && !isFarDue) {
     return;
   }
@@ -129,6 +142,8 @@
   }
   if (isFarDue) {
     aCore.mNextFar = aNow + FarPeriod(policy, neighbours.mFar.size(), rank);
+    aCore.mLastFar = aNow;
+    aCore.mFarTold = { message.mSilent, message.mUnanswering, message.mProven };
     Send(aActions, message, neighbours.mFar);
   }
 }
--- a/src/sassafrasknot/fleet/load_exchange_test.cpp
+++ b/src/sassafrasknot/fleet/load_exchange_test.cpp
@@ -119,5 +119,29 @@
   EXPECT_EQ(MeanUses(core).at({ "b" }), 0.75);
 }
 
+// Guards against instances that never hear of an answer to a probe, because it
+// is told for a shorter time than the period of their messages, and then reset
+// open flows at an upstream that lives.
+TEST(LoadExchange, TellsAllLocalPeersSoonThatAnUpstreamIsProven)
+{
+  constexpr std::uint32_t kInstances = 85;
+  auto core = MakeLargeCore(kInstances, kStart, kInstances + 1);
+  OnTick(core, kStart);
+  const auto probed = kStart + milliseconds(200);
+  core.mProven[77] = probed;
+  std::size_t told = 0;
+  for (auto now = probed; now < probed + milliseconds(150);
+       now += milliseconds(25)) {
+    for (const auto& sending : OnTick(core, now).mSend) {
+      if (sending.mMessage.mProven == std::vector<flows::FlowToken>{ 77 } &&
+          sending.mMessage.mLoads && sending.mMessage.mLoads->empty()) {
+        told += sending.mReceivers.size();
+      }
+    }
+  }
+  // Once, and not again with each message that could be sent.
+  EXPECT_EQ(told, kInstances - 1 - 2 * flows::kSharers);
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
--- a/src/sassafrasknot/flows/flow_router_test.cpp
+++ b/src/sassafrasknot/flows/flow_router_test.cpp
@@ -167,5 +167,40 @@
   EXPECT_EQ(record.mSilence.mLiveness, Liveness::Answers);
 }
 
+// The pattern of kcs-clapper-grown inc-b0c9: an upstream acknowledges requests,
+// answers its health check and does not finish four requests in ten. Guards
+// against new flows that go on to be sent there.
+TEST(FlowRouter, FewNewFlowsGoWhereRequestsStayUnanswered)
+{
+  RouterFixture fixture;
+  fixture.Add("i-grey", "a");
+  fixture.Add("i-1", "a");
+  fixture.Add("i-2", "a");
+  fixture.Publish(milliseconds(0));
+  const auto grey = TokenOf("i-grey");
+  int late = 0;
+  int greyLate = 0;
+  std::uint16_t port = 1000;
+  for (milliseconds time{ 0 }; time < milliseconds(6000);
+       time += milliseconds(25)) {
+    const auto placed = fixture.Open(++port, kRequestPort, time);
+    const auto token = placed.mUpstream->mToken;
+    const auto sent = time + milliseconds(2);
+    fixture.Send(port, kRequestPort, token, 1, 1, 100, sent);
+    const bool isUnanswered = token == grey && port % 5 < 2;
+    if (!isUnanswered) {
+      fixture.Send(
+        port, kRequestPort, token, 101, 500, 0, time + milliseconds(15));
+    }
+    OnTick(fixture.mRouter, At(time + milliseconds(20)));
+    if (time > milliseconds(2000)) {
+      ++late;
+      greyLate += token == grey ? 1 : 0;
+    }
+  }
+  // A third without any preference.
+  EXPECT_LE(greyLate * 10, late);
+}
+
 } // namespace
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/silence.cpp
+++ b/src/sassafrasknot/flows/silence.cpp
@@ -41,6 +41,11 @@
     return false;
   }
   auto& since = aSilence.mUnansweredSince;
+  if (since != state::TimePoint{} && aSent - since > kEvidenceWindow) {
+    aSilence.mRepeated = 0;
+    aSilence.mUnseen = 0;
+    since = aSent;
+  }
   since = since == state::TimePoint{} ? aSent : std::min(since, aSent);
   return true;
 }
--- a/src/sassafrasknot/flows/silence_test.cpp
+++ b/src/sassafrasknot/flows/silence_test.cpp
@@ -221,5 +221,28 @@
   EXPECT_EQ(fixture.Silent(), 0);
 }
 
+// The pattern of krampon-prod-grown scale-1 (FLOW at 23.860 s): an instance has
+// one idle flow at an upstream and sees no sign of its life between two packets
+// that were lost ten seconds apart. Guards against open flows that are reset
+// for them.
+TEST(Silence, LostPacketsFarApartDoNotMakeAnUpstreamSilent)
+{
+  Silence silence;
+  const auto proof = [](milliseconds aSent) {
+    return At(aSent + kProofLead + milliseconds(10));
+  };
+  for (const milliseconds sent : { milliseconds(0), milliseconds(10000) }) {
+    NoteRepeated(silence,
+                 At(sent),
+                 proof(sent),
+                 At(sent + kAnswerTime + milliseconds(50)));
+    EXPECT_EQ(silence.mLiveness, Liveness::Suspected);
+  }
+  const auto near = milliseconds(10000) + kEvidenceWindow;
+  NoteRepeated(
+    silence, At(near), proof(near), At(near + kAnswerTime + milliseconds(50)));
+  EXPECT_EQ(silence.mLiveness, Liveness::Silent);
+}
+
 } // namespace
 } // namespace sassafrasknot::flows
