Pull the first state from a weak member where no strong one is known

Change: it waits only while it knows a strong member that lives.

Test: FleetCore.PullsItsFirstStateAtOnceWhereAllMembersAreWeak failed before this change by construction (the pull came after 400 ms).

--- a/include/sassafrasknot/flows/subset.hpp
+++ b/include/sassafrasknot/flows/subset.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_SUBSET_HPP
 #define SASSAFRASKNOT_FLOWS_SUBSET_HPP
 
+#include <compare>
 #include <cstddef>
 
 namespace sassafrasknot::flows {
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -112,7 +112,11 @@
   const bool hasWaited =
     aCore.mStarted &&
     aNow - *aCore.mStarted >= aCore.mSettings.mPolicy.mStrongFirst;
-  return !aMember.mWeak || hasState || hasWaited;
+  const bool knowsStrongOne =
+    std::ranges::any_of(aCore.mPeers.mPeers, [aNow](const auto& aEntry) {
+      return !aEntry.second.mMember.mWeak && IsAlive(aEntry.second, aNow);
+    });
+  return !aMember.mWeak || hasState || hasWaited || !knowsStrongOne;
 }
 
 /// Asks the members that can send a full state to many at once. A weak one that
--- a/src/sassafrasknot/fleet/fleet_core_test.cpp
+++ b/src/sassafrasknot/fleet/fleet_core_test.cpp
@@ -306,7 +306,8 @@
             (PullRequest{ strong.mEndpoint, 0 }));
 }
 
-// Guards against instances that are never ready where all members are weak.
+// Guards against instances that are never ready because the strong members do
+// not answer.
 TEST(FleetCore, PullsItsFirstStateFromAWeakMemberAfterTheDelay)
 {
   FleetSettings settings;
@@ -317,10 +318,26 @@
   FleetMessage message;
   message.mSender = { { { 1 }, 7000 }, { "a" }, 80, false, false, true };
   message.mRevision = 9;
+  message.mMembers = { { { { { 2 }, 7000 }, { "a" }, 80 }, {} } };
   EXPECT_FALSE(OnMessage(core, message, start + milliseconds(100)).mPull);
   EXPECT_TRUE(
     OnMessage(core, message, start + settings.mPolicy.mStrongFirst).mPull);
 }
 
+// Guards against instances of a deployment without strong ones, such as
+// kcs-clapper, that wait for them while the platform refuses their reads.
+TEST(FleetCore, PullsItsFirstStateAtOnceWhereAllMembersAreWeak)
+{
+  FleetSettings settings;
+  settings.mSelf = { { { 3 }, 7000 }, { "b" }, 100 };
+  const auto start = At(milliseconds(0));
+  auto core = MakeFleetCore(settings);
+  OnTick(core, start);
+  FleetMessage message;
+  message.mSender = { { { 1 }, 7000 }, { "a" }, 80, false, false, true };
+  message.mRevision = 9;
+  EXPECT_TRUE(OnMessage(core, message, start + milliseconds(10)).mPull);
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -28,6 +28,10 @@
 /// Suffix of an instance's part that each of its starts disturbs, which excuses
 /// nothing but bounded times.
 constexpr const char* kStarts = " starts";
+/// Bounds of the platform: a configuration's effect after its acknowledgement,
+/// and the time from SIGTERM to SIGKILL.
+constexpr std::chrono::milliseconds kConfigurationBound{ 3000 };
+constexpr std::chrono::milliseconds kGrace{ 6000 };
 /// Requests that begin in this time after the recovery are counted.
 constexpr std::chrono::milliseconds kLate{ 4000 };
 /// Service addresses: feeds and confirmations of one service, uploads of the
--- a/testing/soak/world_checks.cpp
+++ b/testing/soak/world_checks.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-/// Bounds of the platform after an acknowledgement of its store.
+/// Bound of the platform after its store has acknowledged a drain.
 constexpr milliseconds kDrainBound{ 3000 };
-constexpr milliseconds kConfigurationBound{ 3000 };
 
 } // namespace
 
