Log lost instances and observe the age of what is known

Cause: a peer that came was logged and one that was lost was not, and no histogram told how old the known revision was over time.

Change: peer_lost once for each member that is taken for dead, known_age_seconds each second, and the instance's place in its data centre in the dump.

Tests: Peers.TellTheLossOfAMemberOnce, EdgeNodes.ServeMetricsAndADump.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -60,6 +60,7 @@
   std::atomic<std::uint64_t> mPullFailures{ 0 };
   LatencyHistogram mStoreCall;
   LatencyHistogram mAnswer;
+  LatencyHistogram mKnownAge;
 };
 
 /// @brief Adds one to a counter that only this thread writes.
--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -94,6 +94,8 @@
   std::vector<std::string> mChanged;
   /// Members that came or came back.
   std::vector<Member> mJoined;
+  /// Members that are now taken for dead.
+  std::vector<Member> mLost;
 };
 
 /// @brief The load of another data centre.
--- a/include/sassafrasknot/fleet/peers.hpp
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -41,6 +41,8 @@
   state::TimePoint mHeard;
   /// When any instance last heard it.
   state::TimePoint mSeen;
+  /// Its loss was told since then.
+  bool mIsLost = false;
 };
 
 /// @brief The other instances that this one knows.
@@ -146,6 +148,13 @@
 std::vector<const Peer*>
 RemoteSpeakers(const Peers& aPeers, state::TimePoint aNow);
 
+/// @brief Finds members that are now taken for dead.
+/// @param aPeers the peers
+/// @param aNow the time
+/// @return each of them once until it is seen again
+std::vector<Member>
+TakeLost(Peers& aPeers, state::TimePoint aNow);
+
 /// @brief Forgets members that were not seen for long.
 /// @param aPeers the peers
 /// @param aNow the time
--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -108,6 +108,10 @@
                      (IsReady() ? "yes" : "no") + "\nreader_rank " +
                      std::to_string(fleet::ReaderRank(mCore.mPeers, now)) +
                      "\n";
+  const auto place = fleet::LocalPlace(mCore.mPeers, now);
+  text += "place " + std::to_string(place.mIndex) + " of " +
+          std::to_string(place.mCount) +
+          (flows::IsDivided(place.mCount) ? ", upstreams divided\n" : "\n");
   for (const auto& [endpoint, peer] : mCore.mPeers.mPeers) {
     text += "peer " + ToString(endpoint) + " " +
             peer.mMember.mDataCentre.mValue +
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds kRotationTime{ 1500 };
 /// and when no packet has come for this long.
 constexpr milliseconds kQuietTime{ 500 };
+/// How often the age of the known revision is observed.
+constexpr milliseconds kKnownAgePeriod{ 1000 };
 /// Receive buffer for messages of other instances, in bytes.
 constexpr std::size_t kReceiveBuffer = std::size_t{ 256 } << 10U;
 /// Largest message of another instance, in bytes.
@@ -169,6 +171,10 @@
     mTraffic.UseProven(std::move(proven), now);
   }
   ProbeUpstreams(now);
+  if (now >= mNextKnownAge && mCore.mReader.mEverConfirmed) {
+    mNextKnownAge = now + kKnownAgePeriod;
+    Observe(mMetrics->mKnownAge, now - mCore.mReader.mConfirmed);
+  }
   CheckStop(now);
   mLog->Flush();
 }
@@ -240,6 +246,13 @@
                   { "data_centre", member.mDataCentre.mValue },
                   { "incarnation", std::to_string(member.mIncarnation) } });
   }
+  for (const auto& member : aActions.mLost) {
+    mLog->Write("peer_lost",
+                { { "peer", ToString(member.mEndpoint) },
+                  { "data_centre", member.mDataCentre.mValue },
+                  { "incarnation", std::to_string(member.mIncarnation) },
+                  { "leaving", member.mLeaving ? "yes" : "no" } });
+  }
   TakeChanged(aActions.mChanged);
   for (const auto& [message, receivers] : aActions.mSend) {
     const auto encoded = messages::EncodeMessage(message);
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -82,6 +82,7 @@
   bool mLoadNews = false;
   fleet::ProbeSchedule mProbes;
   std::optional<state::TimePoint> mStopping;
+  state::TimePoint mNextKnownAge;
   /// Full copy of the catalogue as it was last encoded, and its revision.
   std::pair<state::Revision, std::string> mFullCopy;
   TrafficReport mTrafficReport;
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -136,6 +136,11 @@
                  "answer_seconds",
                  "Time from a request to its answer, as callers show it.",
                  aMetrics.mAnswer);
+  WriteHistogram(
+    out,
+    "known_age_seconds",
+    "Time since the platform confirmed what is known, each second.",
+    aMetrics.mKnownAge);
   for (const auto& gauge : aGauges) {
     WriteHead(out, gauge.mName, gauge.mHelp, "gauge");
     out << kPrefix << gauge.mName << ' ' << gauge.mValue << '\n';
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -214,6 +214,7 @@
   }
   if (aNow >= aCore.mNextRemote) {
     aCore.mNextRemote = aNow + policy.mRemotePeriod;
+    actions.mLost = TakeLost(aCore.mPeers, aNow);
     ForgetDead(aCore.mPeers, aNow);
     SendRemote(aCore, actions, aNow);
     ForgetLoads(aCore, aNow);
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -86,6 +86,7 @@
   }
   peer.mMember = aMember;
   peer.mSeen = seen;
+  peer.mIsLost = peer.mIsLost && !IsAlive(peer, aNow);
 }
 
 bool
@@ -180,6 +181,18 @@
   return result;
 }
 
+std::vector<Member>
+TakeLost(Peers& aPeers, state::TimePoint aNow)
+{
+  std::vector<Member> lost;
+  for (auto& [endpoint, peer] : aPeers.mPeers) {
+    if (!IsAlive(peer, aNow) && !std::exchange(peer.mIsLost, true)) {
+      lost.push_back(peer.mMember);
+    }
+  }
+  return lost;
+}
+
 void
 ForgetDead(Peers& aPeers, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/fleet/peers_test.cpp
+++ b/src/sassafrasknot/fleet/peers_test.cpp
@@ -66,5 +66,21 @@
   EXPECT_TRUE(IsAlive(peers.mPeers.at(kOther), later));
 }
 
+// Guards against lost instances that no log line tells of, and against a line
+// for each time that one is looked for.
+TEST(Peers, TellTheLossOfAMemberOnce)
+{
+  auto peers = MakePeers();
+  const Member other{ kOther, { "a" }, 5000 };
+  NoteHeard(peers, other, kStart);
+  EXPECT_TRUE(TakeLost(peers, kStart + kDeadAfter - milliseconds(1)).empty());
+  const auto later = kStart + kDeadAfter;
+  EXPECT_EQ(TakeLost(peers, later), std::vector{ other });
+  EXPECT_TRUE(TakeLost(peers, later).empty());
+  NoteTold(peers, other, milliseconds(0), later + milliseconds(1));
+  EXPECT_EQ(TakeLost(peers, later + kDeadAfter + milliseconds(1)),
+            std::vector{ other });
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
