--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -32,7 +32,7 @@
 /// Packets that are held until the first directory is there, about 100 ms after
 /// the start; callers repeat further ones.
 constexpr std::size_t kHeldPackets = 512;
-/// One flow in this many is logged from its first to its last packet.
+/// Of ordinary flows the placement of one in this many is logged.
 constexpr std::uint64_t kLogOneFlowIn = 8;
 
 bool
--- a/testing/measure/scenarios.cpp
+++ b/testing/measure/scenarios.cpp
@@ -54,9 +54,9 @@
 }
 
 Duration
-FromSeconds(double aSeconds)
+ToDuration(Seconds aTime)
 {
-  return std::chrono::duration_cast<Duration>(Seconds{ aSeconds });
+  return std::chrono::duration_cast<Duration>(aTime);
 }
 
 /// Arrivals of a Poisson process whose rate varies with time.
@@ -76,7 +76,7 @@
   std::exponential_distribution<double> gap{ aArrivals.mPeakRate };
   std::uniform_real_distribution<double> uniform;
   do {
-    aArrivals.mNow += FromSeconds(gap(aArrivals.mRandom));
+    aArrivals.mNow += ToDuration(Seconds{ gap(aArrivals.mRandom) });
   } while (aArrivals.mPart &&
            uniform(aArrivals.mRandom) >= aArrivals.mPart(aArrivals.mNow));
   return aArrivals.mNow;
@@ -99,7 +99,7 @@
       1 / Seconds{ kShortWork }.count()
     }(random);
     holding *= demand.mStraggler ? kStragglerFactor : 1;
-    demand.mHolding = FromSeconds(holding);
+    demand.mHolding = ToDuration(Seconds{ holding });
     return demand;
   };
 }
@@ -155,20 +155,19 @@
 
 /// A steady run lasts longer where fewer slots make fewer flows.
 Duration
-LengthOf(const Deployment& aDeployment, double aSlotSeconds)
+LengthOf(const Deployment& aDeployment, Seconds aSlotTime)
 {
-  return FromSeconds(aSlotSeconds /
-                     (aDeployment.mUpstreams * aDeployment.mSlots));
+  return ToDuration(aSlotTime / (aDeployment.mUpstreams * aDeployment.mSlots));
 }
 
 RunResult
-RunSteadyWork(RunOptions aOptions, double aStragglers, double aSlotSeconds)
+RunSteadyWork(RunOptions aOptions, double aStragglers, Seconds aSlotTime)
 {
   // Nothing is refused, so that waits can be compared.
   aOptions.mLimits.mQueuePerSlot = 1e6;
   aOptions.mWindowStart = TimePoint{ 60s };
   aOptions.mWindowEnd =
-    aOptions.mWindowStart + LengthOf(aOptions.mDeployment, aSlotSeconds);
+    aOptions.mWindowStart + LengthOf(aOptions.mDeployment, aSlotTime);
   Arrivals arrivals;
   arrivals.mRandom.seed(aOptions.mSeed + 1);
   arrivals.mPeakRate = 0.8 * FullRate(aOptions.mDeployment, aStragglers);
@@ -191,8 +190,8 @@
     Demand demand;
     demand.mFlowClass = FlowClass::Feed;
     demand.mArrival = NextArrival(arrivals);
-    demand.mHolding = FromSeconds(
-      std::exponential_distribution<double>{ 1 / kLifetime }(arrivals.mRandom));
+    demand.mHolding = ToDuration(Seconds{ std::exponential_distribution<double>{
+      1 / kLifetime }(arrivals.mRandom) });
     return demand;
   });
 }
@@ -258,7 +257,7 @@
   for (const auto& deployment : Deployments()) {
     for (const auto& layout : Layouts()) {
       const auto result =
-        RunSteadyWork(MakeOptions(deployment, layout, aSeed), 0, 6000);
+        RunSteadyWork(MakeOptions(deployment, layout, aSeed), 0, 6000s);
       report.mRows.push_back(
         { { { "deployment", deployment.mName }, { "layout", layout.mName } },
           { { "max_over_mean",
@@ -312,7 +311,7 @@
          { std::pair{ 0.001, "0.1%" }, { 0.01, "1%" }, { 0.05, "5%" } }) {
       for (const auto& layout : Layouts()) {
         const auto result =
-          RunSteadyWork(MakeOptions(deployment, layout, aSeed), part, 60000);
+          RunSteadyWork(MakeOptions(deployment, layout, aSeed), part, 60000s);
         report.mRows.push_back(
           { { { "deployment", deployment.mName },
               { "stragglers", label },
