Place feeds where the divided own data centre has no upstream left

Cause: where upstreams are divided and none of the own data centre takes flows (all drain, have crashed or are none), the load of the service was summed over an empty subset. The cost of a feed was then not a number, no upstream was chosen and the caller was refused although others could serve.

Change: the load is summed over the whole service then. A full copy is no longer gathered when it is encoded already, and an instance that has just started no longer answers an empty body to a pull.

Test: Placement.OtherDataCentresServeADividedOneWithoutUpstreams failed before and passes after.

--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -42,15 +42,19 @@
 std::string
 ControlLoop::EncodedChanges(state::Revision aAfter)
 {
-  const auto changes = fleet::ChangesAfter(mCore.mCatalogue, aAfter);
-  if (changes.mAfter != 0) {
-    return messages::EncodeChanges(changes);
-  }
   // Many instances ask for a full copy when they start together.
-  if (mFullCopy.first != changes.mUpTo) {
-    mFullCopy = { changes.mUpTo, messages::EncodeChanges(changes) };
+  const auto revision = mCore.mCatalogue.mRevision;
+  const bool isEncoded =
+    mFullCopy.first == revision && !mFullCopy.second.empty();
+  if (aAfter == 0 && isEncoded) {
+    return mFullCopy.second;
+  }
+  const auto changes = fleet::ChangesAfter(mCore.mCatalogue, aAfter);
+  auto encoded = messages::EncodeChanges(changes);
+  if (aAfter == 0) {
+    mFullCopy = { revision, encoded };
   }
-  return mFullCopy.second;
+  return encoded;
 }
 
 net::HttpReply
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -226,7 +226,10 @@
                std::minstd_rand& aRandom,
                state::TimePoint aNow)
 {
-  const auto service = SumLoad(aPool.mIsDivided ? aPool.mNear : aPool.mAll);
+  auto service = SumLoad(aPool.mIsDivided ? aPool.mNear : aPool.mAll);
+  if (service.mSlots == 0) {
+    service = SumLoad(aPool.mAll);
+  }
   UpstreamRecord* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
   for (auto* record : Candidates(aPool, aRequest, aPolicy, aRandom, aNow)) {
--- a/src/sassafrasknot/flows/placement_test.cpp
+++ b/src/sassafrasknot/flows/placement_test.cpp
@@ -32,6 +32,9 @@
                                   {},
                                   mRandom,
                                   At(milliseconds(0)));
+    if (chosen == nullptr) {
+      return nullptr;
+    }
     return &*std::ranges::find(
       mRecords, chosen->mToken, &UpstreamRecord::mToken);
   }
@@ -174,6 +177,25 @@
   }
 }
 
+// Guards against feeds that are refused where upstreams are divided and all of
+// the own data centre drain, have crashed, or are none.
+TEST(Placement, OtherDataCentresServeADividedOneWithoutUpstreams)
+{
+  PlacementFixture fixture;
+  fixture.mPlace = { 0, 20 };
+  fixture.Add("i-1", "b");
+  fixture.Add("i-2", "b");
+  for (const auto kind :
+       { RequestKind::Idempotent, RequestKind::NonIdempotent }) {
+    ASSERT_NE(fixture.Choose(kind), nullptr);
+  }
+  fixture.Add("i-3", "a");
+  fixture.mRecords.back().mUpstream.mDraining = true;
+  const auto* chosen = fixture.Choose(RequestKind::Idempotent);
+  ASSERT_NE(chosen, nullptr);
+  EXPECT_EQ(chosen->mUpstream.mDataCentre.mValue, "b");
+}
+
 // Guards against requests that go to a busy data centre because nothing is
 // known of its upstreams.
 TEST(Placement, TheMeanUseStandsInForUnknownLoads)
