--- a/testing/soak/addresses.hpp
+++ b/testing/soak/addresses.hpp
@@ -48,6 +48,8 @@
   {
     return Host(6, aInstance, kStorePort);
   }
+  /// Bound by the run that uses the network.
+  Endpoint Claim() const { return Host(7, 0, kStorePort); }
 
 private:
   Endpoint Host(std::uint32_t aKind,
--- a/testing/soak/plan.hpp
+++ b/testing/soak/plan.hpp
@@ -36,7 +36,8 @@
   RestartUpstream,    ///< An upstream starts again under its id.
 };
 
-/// @brief Number of kinds; the first kUnplannedKind ones are planned work.
+/// @brief Number of kinds; the first kFirstUnplannedKind of them are planned
+/// work.
 constexpr std::size_t kFaultKinds = 20;
 constexpr std::size_t kFirstUnplannedKind = 5;
 
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -98,6 +98,12 @@
   /// @brief Plays the plan, lets the system recover and ends the instances.
   Report Run();
 
+  /// @brief Returns the second byte of the addresses that a run uses.
+  friend std::uint8_t NetworkOf(const World& aWorld)
+  {
+    return aWorld.mAddresses.mNetwork;
+  }
+
 private:
   struct TestRoute
   {
@@ -113,6 +119,8 @@
     bool mIsOpen = false;
   };
 
+  /// Finds a network that no other run uses.
+  void ClaimNetwork();
   void AddInstance(std::size_t aNumber);
   void StartProcess(Instance& aInstance);
   void WriteSettings(const Instance& aInstance) const;
@@ -173,6 +181,8 @@
   Addresses mAddresses;
   std::mt19937 mRandom;
   boost::asio::io_context mContext;
+  /// Bound for as long as this run uses its network.
+  boost::asio::ip::tcp::acceptor mClaim{ mContext };
   std::unique_ptr<sassafrasknot::testing::Store> mStore;
   std::vector<std::unique_ptr<Instance>> mInstances;
   std::vector<std::shared_ptr<Upstream>> mUpstreams;
--- a/testing/soak/world_setup.cpp
+++ b/testing/soak/world_setup.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <fstream>
+#include <stdexcept>
 
 #include "world.hpp"
 #include <unistd.h>
@@ -29,10 +30,7 @@
   : mOptions(std::move(aOptions))
   , mRandom(static_cast<std::uint32_t>(mOptions.mSeed))
 {
-  // Runs at the same time have networks of their own.
-  constexpr std::uint32_t kNetworks = 120;
-  mAddresses.mNetwork = static_cast<std::uint8_t>(
-    100 + static_cast<std::uint32_t>(getpid()) % kNetworks);
+  ClaimNetwork();
   mStore = std::make_unique<sassafrasknot::testing::Store>(mAddresses.Store());
   PublishConfiguration();
   for (std::size_t i = 0; i < mOptions.mUpstreams; ++i) {
@@ -46,6 +44,26 @@
 
 World::~World() = default;
 
+void
+World::ClaimNetwork()
+{
+  constexpr int kFirst = 100;
+  constexpr int kNetworks = 120;
+  for (int tried = 0; tried < kNetworks; ++tried) {
+    mAddresses.mNetwork =
+      static_cast<std::uint8_t>(kFirst + (getpid() + tried) % kNetworks);
+    const auto endpoint = ToTcp(mAddresses.Claim());
+    boost::system::error_code failure;
+    mClaim.open(endpoint.protocol(), failure);
+    mClaim.bind(endpoint, failure);
+    if (!failure) {
+      return;
+    }
+    mClaim.close(failure);
+  }
+  throw std::runtime_error("no network is free");
+}
+
 void
 World::AddInstance(std::size_t aNumber)
 {
