Write the platform's documents of tests in one place beside its stand-ins

Cause: the soak and the tests of whole instances each spelled the platform's names for configurations, entries and settings.

Change: platform/testing/documents writes them from the product's own types; nothing outside platform/ names them.

Test: Documents.AreReadAsTheyWereWritten reads them with the adapter.

--- a/testing/soak/world_setup.cpp
+++ b/testing/soak/world_setup.cpp
@@ -2,26 +2,36 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "documents.hpp"
 #include "world.hpp"
 #include <unistd.h>
 
 namespace soak {
 
-namespace state = sassafrasknot::state;
+namespace flows = sassafrasknot::flows;
+using namespace sassafrasknot::testing;
 using std::chrono::milliseconds;
 
 namespace {
 
-std::string
-RouteText(const Endpoint& aEndpoint,
-          const std::string& aType,
+flows::Route
+MakeRoute(const Endpoint& aEndpoint,
+          flows::RequestKind aKind,
           const std::string& aService)
 {
-  return R"({"name":"r)" + std::to_string(aEndpoint.mPort) + R"(","host":")" +
-         state::ToString(aEndpoint.mAddress) + R"(","prefix":"/)" +
-         std::to_string(aEndpoint.mPort) + R"(/","type":")" + aType +
-         R"(","timeout_ms":3000,"aim_ms":100,"priority":1,"backend":")" +
-         aService + "\"}";
+  return { "r" + std::to_string(aEndpoint.mPort),
+           aEndpoint,
+           { { aService, 1 } },
+           aKind,
+           milliseconds(100),
+           milliseconds(3000),
+           1 };
+}
+
+std::string
+IdOf(const Upstream& aUpstream)
+{
+  return "i-" + Hex(aUpstream.mLabel);
 }
 
 } // namespace
@@ -95,29 +105,23 @@
 void
 World::WriteSettings(const Instance& aInstance) const
 {
-  const auto at = [&](std::uint16_t aPort) {
-    return state::ToString(mAddresses.Instance(aInstance.mNumber, aPort));
-  };
-  std::string seeds;
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, mOptions.mInstances);
-       ++i) {
-    seeds += (i == 0 ? "\"" : ",\"") +
-             state::ToString(
-               Endpoint{ mAddresses.InstanceRelay(i).mAddress, kAdminPort }) +
-             "\"";
+  const auto number = aInstance.mNumber;
+  sassafrasknot::edge::EdgeSettings settings;
+  settings.mInstance = aInstance.mName;
+  settings.mDataCentre = { aInstance.mDataCentre };
+  settings.mTrafficEndpoint = mAddresses.Instance(number, kTrafficPort);
+  settings.mReadinessEndpoint = mAddresses.Instance(number, kReadinessPort);
+  settings.mAdminEndpoint = mAddresses.Instance(number, kAdminPort);
+  settings.mFleetEndpoint = mAddresses.Instance(number, kFleetPort);
+  settings.mAnnouncedEndpoint = mAddresses.InstanceRelay(number);
+  settings.mStoreEndpoint = mAddresses.StoreRelay(number);
+  constexpr std::size_t kSeeds = 3;
+  for (std::size_t i = 0; i < std::min(kSeeds, mOptions.mInstances); ++i) {
+    settings.mSeeds.push_back(mAddresses.InstanceRelay(i));
   }
   std::ofstream file(mOptions.mFolder + "/" + aInstance.mName + ".json");
-  file
-    << R"({"node_name":")" << aInstance.mName << R"(","zone":")"
-    << aInstance.mDataCentre << R"(","ip":")"
-    << state::ToString(mAddresses.InstanceRelay(aInstance.mNumber).mAddress)
-    << R"(","listen":{"datagram_addr":")" << at(kTrafficPort)
-    << R"(","readiness":")" << at(kReadinessPort) << R"(","admin":")"
-    << at(kAdminPort) << R"("},"internal_ports":[)" << kFleetPort << ","
-    << kFleetPort + 15 << R"(],"seeds":[)" << seeds
-    << R"(],"bounds":{"grace_s":)" << kGrace / milliseconds(1000)
-    << R"(},"limits":{"cpu_share":1,"link_mbps":1000},"platform":{"address":")"
-    << state::ToString(mAddresses.StoreRelay(aInstance.mNumber)) << "\"}}\n";
+  file << SettingsText(
+    settings, std::chrono::duration_cast<std::chrono::seconds>(kGrace));
 }
 
 void
@@ -155,42 +159,46 @@
 {
   const auto dataCentre = static_cast<char>(
     'a' + NumberOf(aUpstream.mEndpoint) % mOptions.mDataCentres);
-  mStore->Put("servers/i-" + Hex(aUpstream.mLabel),
-              R"({"backend":")" + aUpstream.mService + R"(","address":")" +
-                state::ToString(aUpstream.mEndpoint) + R"(","zone":")" +
-                dataCentre + R"(","version":"v1","concurrency":2,"state":")" +
-                (aUpstream.mDraining ? "draining" : "ready") +
-                R"(","warmup_left_ms":0,"seq":1,"born":)" +
-                std::to_string(mBorn++) + "}");
+  flows::Upstream upstream;
+  upstream.mId = IdOf(aUpstream);
+  upstream.mService = aUpstream.mService;
+  upstream.mAddress = aUpstream.mEndpoint;
+  upstream.mDataCentre = { std::string(1, dataCentre) };
+  upstream.mSlots = 2;
+  upstream.mDraining = aUpstream.mDraining;
+  upstream.mStarted = milliseconds(mBorn++);
+  mStore->Put(UpstreamKey(upstream.mId), UpstreamText(upstream));
 }
 
 void
 World::WithdrawUpstream(const Upstream& aUpstream)
 {
-  mStore->Delete("servers/i-" + Hex(aUpstream.mLabel));
+  mStore->Delete(UpstreamKey(IdOf(aUpstream)));
 }
 
 void
 World::PublishConfiguration()
 {
-  std::string routes = RouteText(kDesk, "idempotent", "desk") + "," +
-                       RouteText(kDeskOnce, "non_idempotent", "desk") + "," +
-                       RouteText(kIntake, "upload", "intake");
+  using flows::RequestKind;
+  flows::Configuration configuration;
+  mVersion += 3;
+  configuration.mVersion = mVersion;
+  configuration.mIdleTimeout = milliseconds(15000);
+  configuration.mHealthPaths = { { "desk", "/h" }, { "intake", "/h" } };
+  const auto add = [&configuration](const flows::Route& aRoute) {
+    configuration.mRoutes[aRoute.mEndpoint] = aRoute;
+  };
+  add(MakeRoute(kDesk, RequestKind::Idempotent, "desk"));
+  add(MakeRoute(kDeskOnce, RequestKind::NonIdempotent, "desk"));
+  add(MakeRoute(kIntake, RequestKind::Upload, "intake"));
   for (const auto& route : mTestRoutes) {
     if (route.mIsPresent) {
-      routes += "," + RouteText(route.mEndpoint, "idempotent", "desk");
+      add(MakeRoute(route.mEndpoint, RequestKind::Idempotent, "desk"));
     }
   }
-  mVersion += 3;
-  if (mOptions.mSabotage == "config" && mVersion > 3) {
-    return;
+  if (mOptions.mSabotage != "config" || mVersion == 3) {
+    mStore->Put(kConfigurationKey, ConfigurationText(configuration));
   }
-  mStore->Put("op/config",
-              R"({"version":)" + std::to_string(mVersion) + R"(,"routes":[)" +
-                routes +
-                R"(],"backends":[{"name":"desk","health_check_path":"/h"},)"
-                R"({"name":"intake","health_check_path":"/h"}],)"
-                R"("limits":{"idle_timeout_ms":15000}})");
 }
 
 void
