--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -65,9 +65,7 @@
   if (mOptions.mSabotage == "reset") {
     ResetOpenFlow(aEnds, aBytes);
   }
-  const std::string dataCentre(
-    1, static_cast<char>('a' + aCaller % mOptions.mDataCentres));
-  const auto rotation = Rotation(dataCentre);
+  const auto rotation = Rotation(DataCentreOf(aCaller));
   const auto hash = state::Hash({ aEnds.first, aEnds.second });
   const auto& instance = *rotation[hash % rotation.size()];
   Deliver(mAddresses.Instance(instance.mNumber, kTrafficPort), aCaller, aBytes);
@@ -116,12 +114,17 @@
 bool
 World::IsCut(const Instance& aInstance, std::size_t aUpstreamNumber) const
 {
-  const auto dataCentre = std::string(
-    1, static_cast<char>('a' + aUpstreamNumber % mOptions.mDataCentres));
+  const auto dataCentre = DataCentreOf(aUpstreamNumber);
   return mDataCentreCuts > 0 && dataCentre != aInstance.mDataCentre &&
          (dataCentre == "a" || aInstance.mDataCentre == "a");
 }
 
+std::string
+World::DataCentreOf(std::size_t aNumber) const
+{
+  return { static_cast<char>('a' + aNumber % mOptions.mDataCentres) };
+}
+
 Instance&
 World::InstanceAt(const Endpoint& aEndpoint)
 {
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -168,6 +168,8 @@
   /// Returns whether no fault excuses a broken flow.
   bool IsFlowCalm(const Instance& aInstance, std::uint64_t aLabel) const;
 
+  /// Data centre of the instance, upstream or caller of a number.
+  std::string DataCentreOf(std::size_t aNumber) const;
   Instance& InstanceAt(const Endpoint& aEndpoint);
   std::shared_ptr<Upstream> PickUpstream(std::size_t aTarget);
   void DisturbAll(std::chrono::milliseconds aFor);
--- a/testing/soak/world_setup.cpp
+++ b/testing/soak/world_setup.cpp
@@ -81,8 +81,7 @@
   auto& added = *instance;
   added.mNumber = aNumber;
   added.mName = "instance-" + std::to_string(aNumber);
-  added.mDataCentre =
-    std::string(1, static_cast<char>('a' + aNumber % mOptions.mDataCentres));
+  added.mDataCentre = DataCentreOf(aNumber);
   added.mFleetRelay =
     std::make_shared<Port>(mContext, mAddresses.InstanceRelay(aNumber));
   added.mFleetRelay->Start(
@@ -157,13 +156,11 @@
 void
 World::PublishUpstream(const Upstream& aUpstream)
 {
-  const auto dataCentre = static_cast<char>(
-    'a' + NumberOf(aUpstream.mEndpoint) % mOptions.mDataCentres);
   flows::Upstream upstream;
   upstream.mId = IdOf(aUpstream);
   upstream.mService = aUpstream.mService;
   upstream.mAddress = aUpstream.mEndpoint;
-  upstream.mDataCentre = { std::string(1, dataCentre) };
+  upstream.mDataCentre = { DataCentreOf(NumberOf(aUpstream.mEndpoint)) };
   upstream.mSlots = 2;
   upstream.mDraining = aUpstream.mDraining;
   upstream.mStarted = milliseconds(mBorn++);
