Hold restarts in the soak's deliberate fault of the recovery

That deliberate fault stops all processes; an instance that had just ended after its planned stop started again 0.3 s later, ran, and served more than a quarter of the requests.

Change: no process starts after that fault.

--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -176,7 +176,7 @@
     instance->mProcess.reset();
     DisturbPart(instance->mName + kStarts, kRestartPause);
     After(mContext, kRestartPause, [this, ended = instance.get()] {
-      if (!mIsOver) {
+      if (!mIsOver && !mHoldsStarts) {
         StartProcess(*ended);
       }
     });
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -204,6 +204,8 @@
   int mDataCentreCuts = 0;
   int mStoreFaults = 0;
   bool mIsOver = false;
+  /// Processes that end do not start again.
+  bool mHoldsStarts = false;
   Clock::time_point mStart;
   Clock::time_point mLateFrom;
 };
--- a/testing/soak/world_faults.cpp
+++ b/testing/soak/world_faults.cpp
@@ -322,6 +322,7 @@
   });
   if (mOptions.mSabotage == "recover") {
     After(mContext, mOptions.mLength, [this] {
+      mHoldsStarts = true;
       for (const auto& instance : mInstances) {
         instance->mIsPaused = true;
         if (instance->mProcess) {
