Reset no open flow because of another instance's report alone

Cause: an instance that a fault has cut off from an upstream reports it as unresponsive.

Change: a reported upstream has a liveness of its own, Reported. New flows go elsewhere as before. Own evidence, and the check of a whole data centre, reset flows as before, also if they come after a report. A packet that was overtaken, or was sent before a stall, is no longer recorded as a flow's missing answer, so that a later retransmission of it counts.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -28,10 +28,9 @@
 /// limit, packets lost long apart would add up at an instance that has few
 /// flows at an upstream and so records few answers in between.
 constexpr std::chrono::milliseconds kEvidenceWindow{ 2000 };
-/// An upstream that answered a packet forwarded less than this time ago is not
-/// marked unresponsive because of a report of another instance or because its
-/// data centre is unreachable: these may be older than the answer, but not by
-/// more than this time.
+/// A report of another instance or the check of its data centre has no effect on
+/// an upstream that answered a packet forwarded less than this time ago: these
+/// may be older than the answer, but not by more than this time.
 constexpr std::chrono::milliseconds kRecentAnswerAge{ 300 };
 /// Interval of trials: new flows that are sent to a suspected or unresponsive
 /// upstream although no probe has reached it. Several times the interval of
@@ -42,8 +41,11 @@
 enum class Liveness : std::uint8_t
 {
   Responsive,
-  Suspected,    ///< New flows go elsewhere, except for trials.
-  Unresponsive, ///< In addition, open idempotent flows there may be reset.
+  Suspected, ///< New flows go elsewhere, except for trials.
+  /// Other instances have found it unresponsive. In addition, an open idempotent
+  /// flow there is reset if its own caller retransmits.
+  Reported,
+  Unresponsive, ///< Any open idempotent flow there may be reset.
 };
 
 /// @brief Passive failure detector of one upstream. Answers go to callers
@@ -64,9 +66,10 @@
   std::uint32_t mRetransmittingFlows = 0;
   /// Number of flows whose caller did not return after its opening packet.
   std::uint32_t mUnansweredOpens = 0;
-  /// Another instance, or the check of its data centre, has reported it as
-  /// unresponsive.
-  bool mMarkedUnresponsive = false;
+  /// Another instance has reported it as unresponsive.
+  bool mReported = false;
+  /// Its whole data centre was found unreachable.
+  bool mDataCentreUnreachable = false;
   /// Earliest time of the next trial.
   state::TimePoint mNextTrial;
 };
@@ -109,8 +112,18 @@
                      state::TimePoint aNow);
 
 /// @brief Records that another instance has reported the upstream as
-/// unresponsive, or that its whole data centre is unreachable. Has no effect if
-/// the upstream has answered a packet of the last kRecentAnswerAge.
+/// unresponsive. The fault may be on that instance's side, so that the report
+/// alone resets no open flow. Has no effect if the upstream has answered a
+/// packet of the last kRecentAnswerAge.
+/// @param aDetector the upstream's failure detector
+/// @param aNow current time on the steady clock
+/// @return whether its liveness changed
+bool
+RecordReport(FailureDetector& aDetector, state::TimePoint aNow);
+
+/// @brief Records that this instance has found the upstream's whole data centre
+/// unreachable. Has no effect if the upstream has answered a packet of the last
+/// kRecentAnswerAge.
 /// @param aDetector the upstream's failure detector
 /// @param aNow current time on the steady clock
 /// @return whether its liveness changed
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -108,8 +108,8 @@
   std::unordered_map<state::FlowKey, FlowEntry> mFlows;
   /// Changes that the owner of the router has not collected yet.
   std::vector<LivenessChange> mLivenessChanges;
-  /// Upstreams that became unresponsive since AbandonUnansweredRequests was
-  /// last called.
+  /// Upstreams that became unresponsive, or were reported as such, since
+  /// AbandonUnansweredRequests was last called.
   std::vector<UpstreamToken> mNewlyUnresponsive;
   /// Position among the instances of this data centre.
   InstancePosition mPosition;
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -18,12 +18,22 @@
       return "answers";
     case flows::Liveness::Suspected:
       return "suspected";
+    case flows::Liveness::Reported:
+      return "reported";
     case flows::Liveness::Unresponsive:
       break;
   }
   return "silent";
 }
 
+/// Returns whether evidence other than own unanswered packets counts against
+/// the upstream.
+bool
+IsMarked(const flows::FailureDetector& aDetector)
+{
+  return aDetector.mReported || aDetector.mDataCentreUnreachable;
+}
+
 std::string_view
 ToText(flows::Presence aPresence)
 {
@@ -67,7 +77,7 @@
       { "liveness", std::string(ToText(detector.mLiveness)) },
       { "repeated", std::to_string(detector.mRetransmittingFlows) },
       { "unseen", std::to_string(detector.mUnansweredOpens) },
-      { "told", detector.mMarkedUnresponsive ? "yes" : "no" },
+      { "told", IsMarked(detector) ? "yes" : "no" },
     };
     *text += "upstream " + record.mUpstream.mId;
     for (const auto& [key, value] : fields) {
@@ -131,7 +141,7 @@
         { "repeated",
           std::to_string(record->mFailureDetector.mRetransmittingFlows) },
         { "unseen", std::to_string(record->mFailureDetector.mUnansweredOpens) },
-        { "told", record->mFailureDetector.mMarkedUnresponsive ? "yes" : "no" },
+        { "told", IsMarked(record->mFailureDetector) ? "yes" : "no" },
         { "last_sign_ms", std::to_string(age.count()) } });
   }
 }
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -182,7 +182,7 @@
       report.mOwnLoads.push_back({ token, record.mOwnLoad });
     }
     if (record.mFailureDetector.mLiveness == flows::Liveness::Unresponsive &&
-        !record.mFailureDetector.mMarkedUnresponsive) {
+        !record.mFailureDetector.mDataCentreUnreachable) {
       report.mUnresponsive.push_back(token);
     }
     if (record.mFailureDetector.mLiveness != flows::Liveness::Responsive &&
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -14,9 +14,12 @@
     aLinkVerifiedAt > aDetector.mUnansweredSince + kLinkVerificationMargin;
   if ((aDetector.mRetransmittingFlows >= kUnresponsiveAfterFlows &&
        isLinkVerified) ||
-      aDetector.mMarkedUnresponsive) {
+      aDetector.mDataCentreUnreachable) {
     return Liveness::Unresponsive;
   }
+  if (aDetector.mReported) {
+    return Liveness::Reported;
+  }
   if (aDetector.mRetransmittingFlows > 0 ||
       aDetector.mUnansweredOpens >= kSuspectedAfterUnansweredOpens) {
     return Liveness::Suspected;
@@ -43,6 +46,22 @@
   return true;
 }
 
+bool
+HasAnsweredRecently(const FailureDetector& aDetector, state::TimePoint aNow)
+{
+  return aNow - aDetector.mLastAnsweredSent < kRecentAnswerAge;
+}
+
+/// Lowers the liveness because of evidence other than own unanswered packets.
+bool
+ApplyIndirectEvidence(FailureDetector& aDetector, state::TimePoint aNow)
+{
+  if (aDetector.mUnansweredSince == state::TimePoint{}) {
+    aDetector.mUnansweredSince = aNow;
+  }
+  return UpdateLiveness(aDetector, {}, aNow);
+}
+
 /// Extends the period of evidence by an unanswered packet and returns whether
 /// the packet counts: it has timed out and no later one was answered. If it was
 /// forwarded more than kEvidenceWindow after the first one of the period, a new
@@ -79,7 +98,8 @@
   }
   aDetector.mRetransmittingFlows = 0;
   aDetector.mUnansweredOpens = 0;
-  aDetector.mMarkedUnresponsive = false;
+  aDetector.mReported = false;
+  aDetector.mDataCentreUnreachable = false;
   aDetector.mUnansweredSince = {};
   const bool hasChanged = aDetector.mLiveness != Liveness::Responsive;
   aDetector.mLiveness = Liveness::Responsive;
@@ -112,16 +132,23 @@
 }
 
 bool
-MarkUnresponsive(FailureDetector& aDetector, state::TimePoint aNow)
+RecordReport(FailureDetector& aDetector, state::TimePoint aNow)
 {
-  if (aNow - aDetector.mLastAnsweredSent < kRecentAnswerAge) {
+  if (HasAnsweredRecently(aDetector, aNow)) {
     return false;
   }
-  aDetector.mMarkedUnresponsive = true;
-  if (aDetector.mUnansweredSince == state::TimePoint{}) {
-    aDetector.mUnansweredSince = aNow;
+  aDetector.mReported = true;
+  return ApplyIndirectEvidence(aDetector, aNow);
+}
+
+bool
+MarkUnresponsive(FailureDetector& aDetector, state::TimePoint aNow)
+{
+  if (HasAnsweredRecently(aDetector, aNow)) {
+    return false;
   }
-  return UpdateLiveness(aDetector, {}, aNow);
+  aDetector.mDataCentreUnreachable = true;
+  return ApplyIndirectEvidence(aDetector, aNow);
 }
 
 bool
--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -168,6 +168,68 @@
   EXPECT_TRUE(AdmitsFlow(detector, At(milliseconds(1300) + kTrialInterval)));
 }
 
+// Guards against resets of open flows by an instance that misses no answer
+// itself, because another instance, which a fault has cut off from the
+// upstream, reports it as unresponsive. Only new flows go elsewhere.
+TEST(FailureDetector, AReportAloneResetsNoOpenFlow)
+{
+  TwoUnansweredFeeds fixture;
+  OnReportedUnresponsive(
+    fixture.mRouter, { fixture.mToken }, At(milliseconds(430)));
+  EXPECT_TRUE(AbandonUnansweredRequests(fixture.mRouter).empty());
+  const auto next = fixture.Send(
+    1, kFeedPort, fixture.mToken, 171, 1, 170, milliseconds(440));
+  EXPECT_EQ(next.mAction, PacketAction::Forward);
+  EXPECT_EQ(
+    fixture.Open(10, kFeedPort, milliseconds(450)).mUpstream->mUpstream.mId,
+    "i-2");
+}
+
+// Guards against idempotent requests that wait at a crashed upstream until
+// their deadline, because the instance that holds them has too few flows there
+// to detect the failure itself: with another instance's report, the first
+// retransmission suffices.
+TEST(FailureDetector, AReportAndARetransmissionResetAnIdempotentRequest)
+{
+  TwoUnansweredFeeds fixture;
+  OnReportedUnresponsive(
+    fixture.mRouter, { fixture.mToken }, At(milliseconds(305)));
+  ASSERT_TRUE(AbandonUnansweredRequests(fixture.mRouter).empty());
+  const auto decision =
+    SendRequest(fixture, 1, fixture.mToken, milliseconds(310));
+  EXPECT_EQ(decision.mAction, PacketAction::Reset);
+  EXPECT_EQ(decision.mReason, Reason::UpstreamUnresponsive);
+  EXPECT_EQ(decision.mVerdict, state::Verdict::MayHaveRun);
+}
+
+// Guards against the same wait where the retransmission precedes the report.
+TEST(FailureDetector, AReportAbandonsRequestsThatWereRetransmittedBefore)
+{
+  TwoUnansweredFeeds fixture;
+  SendRequest(fixture, 1, fixture.mToken, milliseconds(301));
+  OnReportedUnresponsive(
+    fixture.mRouter, { fixture.mToken }, At(milliseconds(320)));
+  const auto abandoned = AbandonUnansweredRequests(fixture.mRouter);
+  ASSERT_EQ(abandoned.size(), 1U);
+  EXPECT_EQ(abandoned[0].mPacket.mFlow.mCaller.mPort, 1);
+}
+
+// Guards against own evidence that is ignored once a report has come: the
+// requests that wait for their first retransmission are abandoned too.
+TEST(FailureDetector, OwnEvidenceAfterAReportAbandonsAllRequests)
+{
+  TwoUnansweredFeeds fixture;
+  fixture.Send(3, kFeedPort, fixture.mToken, 1, 1, 170, milliseconds(290));
+  OnReportedUnresponsive(
+    fixture.mRouter, { fixture.mToken }, At(milliseconds(305)));
+  SendRequest(fixture, 1, fixture.mToken, milliseconds(310));
+  SendRequest(fixture, 2, fixture.mToken, milliseconds(320));
+  EXPECT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Unresponsive);
+  const auto abandoned = AbandonUnansweredRequests(fixture.mRouter);
+  ASSERT_EQ(abandoned.size(), 1U);
+  EXPECT_EQ(abandoned[0].mPacket.mFlow.mCaller.mPort, 3);
+}
+
 /// A router with one local upstream and several in data centre "b", i-0 and up,
 /// whose requests may be left unanswered.
 struct RemoteFeeds : RouterFixture
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -178,9 +178,22 @@
   return entry;
 }
 
+/// Returns whether a retransmission of a packet forwarded at aSent shows that
+/// its answer is missing: neither did another packet overtake it, nor was this
+/// process stalled since.
+bool
+IsMissingAnswer(const FlowRouter& aRouter,
+                state::TimePoint aSent,
+                state::TimePoint aNow)
+{
+  return aNow - aSent >= kAnswerTimeout &&
+         aSent >= aRouter.mIgnoreEvidenceBefore;
+}
+
 /// Decides on a packet of an established flow and records what it shows. The
 /// packet goes to the upstream that its token names. An idempotent flow that
-/// sends data to an unresponsive upstream is reset instead.
+/// sends data to an unresponsive upstream, or retransmits to one that other
+/// instances report as unresponsive, is reset instead.
 Decision
 OnEstablished(FlowRouter& aRouter,
               const CallerPacket& aPacket,
@@ -219,12 +232,18 @@
       *record,
       RecordAnswer(record->mFailureDetector, findings.mAnsweredSent));
   } else if (findings.mRetransmitted && entry.mRequestActive &&
-             !entry.mMissingAnswerRecorded) {
+             !entry.mMissingAnswerRecorded &&
+             IsMissingAnswer(aRouter, entry.mNewDataSent, aNow)) {
     entry.mMissingAnswerRecorded = true;
     HandleRetransmission(aRouter, *record, entry.mNewDataSent, aNow);
   }
-  if (record->mFailureDetector.mLiveness == Liveness::Unresponsive &&
-      aPacket.mPayloadBytes > 0 && entry.mKind == RequestKind::Idempotent) {
+  const auto liveness = record->mFailureDetector.mLiveness;
+  const bool isAbandoned =
+    liveness == Liveness::Unresponsive ||
+    (liveness == Liveness::Reported && findings.mRetransmitted &&
+     entry.mMissingAnswerRecorded);
+  if (isAbandoned && aPacket.mPayloadBytes > 0 &&
+      entry.mKind == RequestKind::Idempotent) {
     RemoveFlow(aRouter, aPacket.mFlow);
     return { PacketAction::Reset,
              Reason::UpstreamUnresponsive,
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -9,7 +9,8 @@
 
 /// Abandons the flows whose idempotent requests an unresponsive upstream has
 /// not answered, so that their callers try again at once instead of after their
-/// next retransmission.
+/// next retransmission. If other instances have only reported the upstream,
+/// these are the flows whose callers have already retransmitted.
 void
 AbandonRequests(FlowRouter& aRouter,
                 const UpstreamRecord& aRecord,
@@ -20,7 +21,9 @@
     const bool isUnanswered =
       entry.mToken == aRecord.mToken && entry.mEstablished &&
       entry.mRequestActive && entry.mKind == RequestKind::Idempotent &&
-      entry.mNewDataSent > aRecord.mFailureDetector.mLastAnsweredSent;
+      entry.mNewDataSent > aRecord.mFailureDetector.mLastAnsweredSent &&
+      (aRecord.mFailureDetector.mLiveness == Liveness::Unresponsive ||
+       entry.mMissingAnswerRecorded);
     if (!isUnanswered) {
       ++it;
       continue;
@@ -86,7 +89,7 @@
   }
   aRouter.mLivenessChanges.push_back(
     { aRecord.mToken, aRecord.mFailureDetector.mLiveness });
-  if (aRecord.mFailureDetector.mLiveness == Liveness::Unresponsive) {
+  if (aRecord.mFailureDetector.mLiveness >= Liveness::Reported) {
     aRouter.mNewlyUnresponsive.push_back(aRecord.mToken);
   }
 }
@@ -115,7 +118,7 @@
   for (const auto token : std::exchange(aRouter.mNewlyUnresponsive, {})) {
     const auto* record = FindUpstream(aRouter.mUpstreams, token);
     if (record != nullptr &&
-        record->mFailureDetector.mLiveness == Liveness::Unresponsive) {
+        record->mFailureDetector.mLiveness >= Liveness::Reported) {
       AbandonRequests(aRouter, *record, abandoned);
     }
   }
@@ -130,7 +133,7 @@
   for (const auto token : aTokens) {
     if (auto* record = FindUpstream(aRouter.mUpstreams, token)) {
       RecordLivenessChange(
-        aRouter, *record, MarkUnresponsive(record->mFailureDetector, aNow));
+        aRouter, *record, RecordReport(record->mFailureDetector, aNow));
     }
   }
 }
