Decode downloads, and keep a configuration with a defective route

Their routes have the kind 'download', which the decoder did not know, and one route that it could not decode made the whole configuration invalid.

Change: RequestKind::Download, whose requests are idempotent. A route of an unknown kind is used as one whose requests are executed at most once; a route that cannot be decoded in another part is left out. Both are logged with their place and counted by reason (defective_routes_total). A configuration without version, limits or a list of routes is still rejected as a whole.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_EDGE_METRICS_HPP
 #define SASSAFRASKNOT_EDGE_METRICS_HPP
 
+#include "sassafrasknot/edge/platform_formats.hpp"
 #include "sassafrasknot/flows/flow_router.hpp"
 #include "sassafrasknot/state/time.hpp"
 
@@ -67,6 +68,8 @@
   std::atomic<std::uint64_t> mStoreFailures{ 0 };
   /// Records of the store that could not be decoded.
   std::atomic<std::uint64_t> mMalformedRecords{ 0 };
+  /// Routes with a defect per RouteDefect, over all received configurations.
+  std::array<std::atomic<std::uint64_t>, kRouteDefectCount> mDefectiveRoutes{};
   /// Datagrams received on the fleet endpoint, malformed ones included.
   std::atomic<std::uint64_t> mFleetMessages{ 0 };
   std::atomic<std::uint64_t> mMalformedMessages{ 0 };
--- a/include/sassafrasknot/edge/platform_formats.hpp
+++ b/include/sassafrasknot/edge/platform_formats.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -47,10 +48,48 @@
   bool mHasMore = false;
 };
 
+/// @brief What is wrong with a route of a configuration.
+enum class RouteDefect : std::uint8_t
+{
+  /// Its kind of request is not known. The route is used as one whose requests
+  /// are executed at most once.
+  UnknownKind,
+  /// It cannot be decoded and is left out.
+  Unreadable,
+};
+
+/// @brief Number of route defects.
+constexpr std::size_t kRouteDefectCount = 2;
+
+/// @brief Returns the name of a defect as it stands in logs and metrics.
+/// @param aDefect defect of a route
+/// @return lower-case words joined by underscores
+constexpr std::string_view
+ToString(RouteDefect aDefect)
+{
+  return aDefect == RouteDefect::UnknownKind ? "unknown_kind" : "unreadable";
+}
+
+/// @brief A route of a configuration that could not be decoded completely.
+struct DefectiveRoute
+{
+  RouteDefect mDefect = RouteDefect::Unreadable;
+  /// Location in the document, and the cause.
+  std::string mMessage;
+};
+
+/// @brief A decoded configuration. One defective route does not make the others
+/// unusable.
+struct DecodedConfiguration
+{
+  std::shared_ptr<const flows::Configuration> mConfiguration;
+  std::vector<DefectiveRoute> mDefectiveRoutes;
+};
+
 /// @brief Content of a record: a configuration, an upstream, or nothing that an
 /// instance uses.
 using RecordContent = std::variant<std::monostate,
-                                   std::shared_ptr<const flows::Configuration>,
+                                   DecodedConfiguration,
                                    flows::Upstream>;
 
 /// @brief Functions that call and decode the store of one platform.
--- a/include/sassafrasknot/flows/routing.hpp
+++ b/include/sassafrasknot/flows/routing.hpp
@@ -18,12 +18,21 @@
 /// be done with one whose outcome is unknown.
 enum class RequestKind : std::uint8_t
 {
-  Idempotent,    ///< May be repeated. Its flows, called feeds, stay open for
-                 ///< many requests.
+  Idempotent,    ///< May be repeated.
   NonIdempotent, ///< Executed at most once.
   Upload,        ///< Executed at most once, with a long body.
+  Download,      ///< May be repeated, with a long answer.
 };
 
+/// @brief Returns whether a request of this kind may be executed again.
+/// @param aKind kind of the request's route
+/// @return whether it is idempotent
+constexpr bool
+IsIdempotent(RequestKind aKind)
+{
+  return aKind == RequestKind::Idempotent || aKind == RequestKind::Download;
+}
+
 /// @brief A service that receives a share of a route's new flows, in proportion
 /// to its weight.
 struct WeightedService
--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -51,14 +51,27 @@
                   { "draining", upstream->mDraining ? "yes" : "no" },
                   { "revision", revision } });
   } else if (const auto* configuration =
-               std::get_if<std::shared_ptr<const flows::Configuration>>(
-                 &content.value())) {
-    mDirectoryBuilder.mConfiguration = *configuration;
-    mLog->Write(
-      "configuration",
-      { { "version", std::to_string((*configuration)->mVersion) },
-        { "routes", std::to_string((*configuration)->mRoutes.size()) },
-        { "revision", revision } });
+               std::get_if<DecodedConfiguration>(&content.value())) {
+    ApplyConfiguration(*configuration, revision);
+  }
+}
+
+void
+ControlLoop::ApplyConfiguration(const DecodedConfiguration& aDecoded,
+                                const std::string& aRevision)
+{
+  const auto& configuration = aDecoded.mConfiguration;
+  mDirectoryBuilder.mConfiguration = configuration;
+  mLog->Write("configuration",
+              { { "version", std::to_string(configuration->mVersion) },
+                { "routes", std::to_string(configuration->mRoutes.size()) },
+                { "revision", aRevision } });
+  for (const auto& [defect, message] : aDecoded.mDefectiveRoutes) {
+    Increment(mMetrics->mDefectiveRoutes[static_cast<std::size_t>(defect)]);
+    mLog->Write("route_" + std::string(ToString(defect)),
+                { { "version", std::to_string(configuration->mVersion) },
+                  { "reason", message },
+                  { "revision", aRevision } });
   }
 }
 
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -70,6 +70,8 @@
   /// Decodes a record and updates the directory builder. An upstream whose
   /// record is malformed is removed from the builder.
   void ApplyRecord(const fleet::Record& aRecord);
+  void ApplyConfiguration(const DecodedConfiguration& aDecoded,
+                          const std::string& aRevision);
   /// Sends a new directory to the traffic thread if records have changed; not
   /// before the store has confirmed a revision and a configuration is known.
   void PublishDirectory();
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -31,6 +31,22 @@
   aOut << kPrefix << aName << ' ' << aCounter.load() << '\n';
 }
 
+/// Writes counters that are indexed by the values of an enumeration.
+template<typename Reason, std::size_t kCount>
+void
+WriteCountersByReason(std::ostream& aOut,
+                      std::string_view aName,
+                      std::string_view aHelp,
+                      const std::array<Counter, kCount>& aCounters)
+{
+  WriteHeader(aOut, aName, aHelp, "counter");
+  for (std::size_t index = 0; index < kCount; ++index) {
+    aOut << kPrefix << aName << "{reason=\""
+         << ToString(static_cast<Reason>(index)) << "\"} "
+         << aCounters[index].load() << '\n';
+  }
+}
+
 void
 WriteHistogram(std::ostream& aOut,
                std::string_view aName,
@@ -81,15 +97,16 @@
 FormatMetrics(const Metrics& aMetrics, const std::vector<Gauge>& aGauges)
 {
   std::ostringstream out;
-  WriteHeader(out,
-              "packets_total",
-              "Callers' packets by reason of the decision.",
-              "counter");
-  for (std::size_t index = 0; index < flows::kReasonCount; ++index) {
-    out << kPrefix << "packets_total{reason=\""
-        << ToString(static_cast<flows::Reason>(index)) << "\"} "
-        << aMetrics.mPacketsByReason[index].load() << '\n';
-  }
+  WriteCountersByReason<flows::Reason>(
+    out,
+    "packets_total",
+    "Callers' packets by reason of the decision.",
+    aMetrics.mPacketsByReason);
+  WriteCountersByReason<RouteDefect>(
+    out,
+    "defective_routes_total",
+    "Routes that were left out or have an unknown kind.",
+    aMetrics.mDefectiveRoutes);
   const std::tuple<std::string_view, std::string_view, const Counter&>
     counters[] = {
       { "malformed_packets_total",
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -243,7 +243,7 @@
     (liveness == Liveness::Reported && findings.mRetransmitted &&
      entry.mMissingAnswerRecorded);
   if (isAbandoned && aPacket.mPayloadBytes > 0 &&
-      entry.mKind == RequestKind::Idempotent) {
+      IsIdempotent(entry.mKind)) {
     RemoveFlow(aRouter, aPacket.mFlow);
     return { PacketAction::Reset,
              Reason::UpstreamUnresponsive,
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -20,7 +20,7 @@
     const auto& [key, entry] = *it;
     const bool isUnanswered =
       entry.mToken == aRecord.mToken && entry.mEstablished &&
-      entry.mRequestActive && entry.mKind == RequestKind::Idempotent &&
+      entry.mRequestActive && IsIdempotent(entry.mKind) &&
       entry.mNewDataSent > aRecord.mFailureDetector.mLastAnsweredSent &&
       (aRecord.mFailureDetector.mLiveness == Liveness::Unresponsive ||
        entry.mMissingAnswerRecorded);
