Learn the length of flows by route instead of by kind

Change: each route has an estimate of its flows' length. A flow's second request shows that it is a feed; a flow that this instance placed and that ends after one request shows the opposite. Idempotent routes begin as feeds, as before, others as single requests. An open flow becomes a feed in the load at its second request. What may be repeated still depends on the kind.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -28,9 +28,9 @@
 /// limit, packets lost long apart would add up at an instance that has few
 /// flows at an upstream and so records few answers in between.
 constexpr std::chrono::milliseconds kEvidenceWindow{ 2000 };
-/// A report of another instance or the check of its data centre has no effect on
-/// an upstream that answered a packet forwarded less than this time ago: these
-/// may be older than the answer, but not by more than this time.
+/// A report of another instance or the check of its data centre has no effect
+/// on an upstream that answered a packet forwarded less than this time ago:
+/// these may be older than the answer, but not by more than this time.
 constexpr std::chrono::milliseconds kRecentAnswerAge{ 300 };
 /// Interval of trials: new flows that are sent to a suspected or unresponsive
 /// upstream although no probe has reached it. Several times the interval of
@@ -42,8 +42,8 @@
 {
   Responsive,
   Suspected, ///< New flows go elsewhere, except for trials.
-  /// Other instances have found it unresponsive. In addition, an open idempotent
-  /// flow there is reset if its own caller retransmits.
+  /// Other instances have found it unresponsive. In addition, an open
+  /// idempotent flow there is reset if its own caller retransmits.
   Reported,
   Unresponsive, ///< Any open idempotent flow there may be reset.
 };
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_FLOW_ENTRY_HPP
 #define SASSAFRASKNOT_FLOWS_FLOW_ENTRY_HPP
 
+#include "sassafrasknot/flows/flow_length.hpp"
 #include "sassafrasknot/flows/packet.hpp"
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/state/time.hpp"
@@ -20,8 +21,17 @@
   /// The upstream has a request that it has not answered yet, or the opening
   /// packet was forwarded and its request is expected.
   bool mRequestActive = false;
-  /// The flow is counted in its upstream's load, as a feed if it is idempotent.
+  /// The flow is counted in its upstream's load, as a feed if mLength is
+  /// ManyRequests.
   bool mCountedInLoad = false;
+  /// The length that was expected of the flow when it opened, until it is
+  /// known.
+  FlowLength mLength = FlowLength::SingleRequest;
+  /// The flow's opening packet was forwarded by this instance, so that
+  /// mRequests counts all requests of the flow.
+  bool mOpenedHere = false;
+  /// Requests that this instance has seen.
+  std::uint32_t mRequests = 0;
   /// The missing answer to the newest data has already been recorded at the
   /// upstream's failure detector.
   bool mMissingAnswerRecorded = false;
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -9,6 +9,7 @@
 #include "sassafrasknot/state/error.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -106,6 +107,8 @@
   std::shared_ptr<const Directory> mDirectory;
   UpstreamTable mUpstreams;
   std::unordered_map<state::FlowKey, FlowEntry> mFlows;
+  /// Length of the flows of each route.
+  std::map<state::Endpoint, FlowLengthEstimate> mFlowLengths;
   /// Changes that the owner of the router has not collected yet.
   std::vector<LivenessChange> mLivenessChanges;
   /// Upstreams that became unresponsive, or were reported as such, since
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_PLACEMENT_HPP
 #define SASSAFRASKNOT_FLOWS_PLACEMENT_HPP
 
+#include "sassafrasknot/flows/flow_length.hpp"
 #include "sassafrasknot/flows/upstream_table.hpp"
 #include "sassafrasknot/state/identifiers.hpp"
 #include "sassafrasknot/state/time.hpp"
@@ -39,7 +40,7 @@
 /// @brief A new flow that needs an upstream.
 struct PlacementRequest
 {
-  RequestKind mKind = RequestKind::NonIdempotent;
+  FlowLength mLength = FlowLength::SingleRequest;
   /// Data centre of this instance and of the caller.
   state::DataCentreId mDataCentre;
   /// Upstream that did not answer the flow's opening packet, if any. It is
--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -177,8 +177,8 @@
   OnReportedUnresponsive(
     fixture.mRouter, { fixture.mToken }, At(milliseconds(430)));
   EXPECT_TRUE(AbandonUnansweredRequests(fixture.mRouter).empty());
-  const auto next = fixture.Send(
-    1, kFeedPort, fixture.mToken, 171, 1, 170, milliseconds(440));
+  const auto next =
+    fixture.Send(1, kFeedPort, fixture.mToken, 171, 1, 170, milliseconds(440));
   EXPECT_EQ(next.mAction, PacketAction::Forward);
   EXPECT_EQ(
     fixture.Open(10, kFeedPort, milliseconds(450)).mUpstream->mUpstream.mId,
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -37,6 +37,8 @@
       aEntry.mNextSequence = end;
       aEntry.mNewDataSent = aNow;
       aEntry.mMissingAnswerRecorded = false;
+      // Data that follows before an answer belongs to the same request.
+      aEntry.mRequests += aEntry.mRequestActive ? 0 : 1;
       aEntry.mRequestActive = true;
     } else {
       findings.mRetransmitted = true;
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -70,6 +70,33 @@
   return aRoute.mServices.front().mService;
 }
 
+/// Returns the estimate of a route, which is made when first needed.
+FlowLengthEstimate&
+FindOrAddEstimate(FlowRouter& aRouter, const Route& aRoute)
+{
+  return aRouter.mFlowLengths
+    .try_emplace(aRoute.mEndpoint, MakeFlowLengthEstimate(aRoute.mKind))
+    .first->second;
+}
+
+/// Records the flow's length once it is known: at its second request, or at its
+/// end if all of its requests were seen here.
+void
+UpdateFlowLength(FlowRouter& aRouter,
+                 const Route& aRoute,
+                 FlowEntry& aEntry,
+                 std::uint32_t aRequestsBefore,
+                 bool aFinished)
+{
+  if (aRequestsBefore == 1 && aEntry.mRequests == 2) {
+    aEntry.mLength = FlowLength::ManyRequests;
+    RecordFlowLength(FindOrAddEstimate(aRouter, aRoute), aEntry.mLength);
+  } else if (aFinished && aEntry.mOpenedHere && aEntry.mRequests == 1) {
+    RecordFlowLength(FindOrAddEstimate(aRouter, aRoute),
+                     FlowLength::SingleRequest);
+  }
+}
+
 /// Chooses an upstream for a new or reassigned flow and replaces the flow's
 /// entry. The upstream aAvoid is chosen only if there is no other.
 Decision
@@ -81,14 +108,14 @@
 {
   const auto& service = ChooseService(aRoute, aPacket.mFlow);
   const auto found = aRouter.mUpstreams.mByService.find(service);
+  const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
   UpstreamRecord* record = nullptr;
   if (found != aRouter.mUpstreams.mByService.end()) {
-    record =
-      ChooseUpstream(found->second,
-                     { aRoute.mKind, aRouter.mSettings.mDataCentre, aAvoid },
-                     aRouter.mSettings.mPolicy,
-                     aRouter.mRandom,
-                     aNow);
+    record = ChooseUpstream(found->second,
+                            { length, aRouter.mSettings.mDataCentre, aAvoid },
+                            aRouter.mSettings.mPolicy,
+                            aRouter.mRandom,
+                            aNow);
   }
   RemoveFlow(aRouter, aPacket.mFlow);
   if (record == nullptr) {
@@ -99,6 +126,8 @@
   auto& entry = aRouter.mFlows[aPacket.mFlow];
   entry.mToken = record->mToken;
   entry.mKind = aRoute.mKind;
+  entry.mLength = length;
+  entry.mOpenedHere = true;
   entry.mOpenSent = aNow;
   entry.mLastPacket = aNow;
   entry.mCountedInLoad = true;
@@ -171,6 +200,7 @@
     entry.mAcknowledged = aPacket.mAcknowledged;
     entry.mToken = aRecord.mToken;
     entry.mKind = aRoute.mKind;
+    entry.mLength = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
     entry.mOpenSent = aNow;
     entry.mCountedInLoad = true;
     AddLoad(aRecord, entry, 1);
@@ -216,9 +246,15 @@
   }
   auto& entry = FindOrAddEntry(aRouter, aPacket, *route, *record, aNow);
   AddLoad(*record, entry, -1);
+  const auto requestsBefore = entry.mRequests;
   const auto findings = RecordPacket(entry, aPacket, aNow);
   const bool endsFlow = aPacket.mKind == state::SegmentKind::Finish ||
                         aPacket.mKind == state::SegmentKind::Reset;
+  UpdateFlowLength(aRouter,
+                   *route,
+                   entry,
+                   requestsBefore,
+                   aPacket.mKind == state::SegmentKind::Finish);
   if (endsFlow) {
     entry.mRequestActive = false;
     entry.mCountedInLoad = false;
@@ -242,8 +278,7 @@
     liveness == Liveness::Unresponsive ||
     (liveness == Liveness::Reported && findings.mRetransmitted &&
      entry.mMissingAnswerRecorded);
-  if (isAbandoned && aPacket.mPayloadBytes > 0 &&
-      IsIdempotent(entry.mKind)) {
+  if (isAbandoned && aPacket.mPayloadBytes > 0 && IsIdempotent(entry.mKind)) {
     RemoveFlow(aRouter, aPacket.mFlow);
     return { PacketAction::Reset,
              Reason::UpstreamUnresponsive,
@@ -290,6 +325,11 @@
             state::TimePoint aNow)
 {
   aRouter.mDirectory = std::move(aDirectory);
+  if (const auto& configuration = aRouter.mDirectory->mConfiguration) {
+    std::erase_if(aRouter.mFlowLengths, [&](const auto& aItem) {
+      return !configuration->mRoutes.contains(aItem.first);
+    });
+  }
   UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
   BuildPools(
     aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aRouter.mPosition);
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -85,7 +85,7 @@
      const PlacementPolicy& aPolicy,
      state::TimePoint aNow)
 {
-  const bool isFeed = aRequest.mKind == RequestKind::Idempotent;
+  const bool isFeed = aRequest.mLength == FlowLength::ManyRequests;
   double cost =
     isFeed ? FeedCost(aRecord, aService, aPolicy) : RequestCost(aRecord);
   if (aRecord.mUpstream.mDataCentre != aRequest.mDataCentre) {
--- a/src/sassafrasknot/flows/placement_test.cpp
+++ b/src/sassafrasknot/flows/placement_test.cpp
@@ -22,7 +22,7 @@
   }
 
   /// Chooses the upstream of a new flow, without placing it there.
-  UpstreamRecord* Choose(RequestKind aKind = RequestKind::NonIdempotent)
+  UpstreamRecord* Choose(FlowLength aLength = FlowLength::SingleRequest)
   {
     UpstreamTable table;
     for (const auto& record : mRecords) {
@@ -30,7 +30,7 @@
     }
     BuildPools(table, { "a" }, mPosition);
     auto* chosen = ChooseUpstream(table.mByService["scheduling"],
-                                  { aKind, { "a" }, kNoToken },
+                                  { aLength, { "a" }, kNoToken },
                                   {},
                                   mRandom,
                                   At(milliseconds(0)));
@@ -80,7 +80,7 @@
     fixture.AddUpstream("i-" + std::to_string(index), "a");
   }
   for (int feed = 0; feed < 40; ++feed) {
-    ++fixture.Choose(RequestKind::Idempotent)->mOwnLoad.mFeeds;
+    ++fixture.Choose(FlowLength::ManyRequests)->mOwnLoad.mFeeds;
   }
   for (const auto& record : fixture.mRecords) {
     EXPECT_NEAR(record.mOwnLoad.mFeeds, 10, 1);
@@ -192,13 +192,13 @@
   fixture.mPosition = { 0, 20 };
   fixture.AddUpstream("i-1", "b");
   fixture.AddUpstream("i-2", "b");
-  for (const auto kind :
-       { RequestKind::Idempotent, RequestKind::NonIdempotent }) {
-    ASSERT_NE(fixture.Choose(kind), nullptr);
+  for (const auto length :
+       { FlowLength::ManyRequests, FlowLength::SingleRequest }) {
+    ASSERT_NE(fixture.Choose(length), nullptr);
   }
   fixture.AddUpstream("i-3", "a");
   fixture.mRecords.back().mUpstream.mDraining = true;
-  const auto* chosen = fixture.Choose(RequestKind::Idempotent);
+  const auto* chosen = fixture.Choose(FlowLength::ManyRequests);
   ASSERT_NE(chosen, nullptr);
   EXPECT_EQ(chosen->mUpstream.mDataCentre.mValue, "b");
 }
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -63,7 +63,7 @@
 void
 AddLoad(UpstreamRecord& aRecord, const FlowEntry& aEntry, int aSign)
 {
-  if (aEntry.mCountedInLoad && aEntry.mKind == RequestKind::Idempotent) {
+  if (aEntry.mCountedInLoad && aEntry.mLength == FlowLength::ManyRequests) {
     aRecord.mOwnLoad.mFeeds += aSign;
   }
   if (aEntry.mRequestActive) {
