--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -124,6 +124,8 @@
 
 /// Maximum size of a set of changes, in bytes before compression.
 constexpr std::uint32_t kMaxChangesBytes = std::uint32_t{ 64 } << 20U;
+/// Bytes that one byte of a deflate stream expands to at most.
+constexpr std::size_t kMaxCompressionRatio = 1032;
 
 /// Compresses changes, since configurations are repetitive text and links
 /// between instances may be slow. The result starts with the length before
@@ -147,7 +149,8 @@
 }
 
 /// Returns the original of what Compress returned; nothing if the length is
-/// above kMaxChangesBytes or the content does not match it.
+/// above kMaxChangesBytes or the content does not match it. A length that the
+/// content cannot have is rejected before memory is allocated for it.
 std::optional<std::string>
 Decompress(std::string_view aBytes)
 {
@@ -156,12 +159,13 @@
   }
   const auto length = boost::endian::load_little_u32(
     reinterpret_cast<const unsigned char*>(aBytes.data()));
-  if (length > kMaxChangesBytes) {
+  const auto body = aBytes.substr(sizeof(std::uint32_t));
+  if (length > std::min<std::size_t>(kMaxChangesBytes,
+                                     body.size() * kMaxCompressionRatio)) {
     return std::nullopt;
   }
   std::string result(length, '\0');
   uLongf size = length;
-  const auto body = aBytes.substr(sizeof(std::uint32_t));
   const int status = uncompress(reinterpret_cast<Bytef*>(result.data()),
                                 &size,
                                 reinterpret_cast<const Bytef*>(body.data()),
--- a/src/sassafrasknot/messages/fleet_codec_test.cpp
+++ b/src/sassafrasknot/messages/fleet_codec_test.cpp
@@ -1,7 +1,9 @@
 #include "sassafrasknot/messages/fleet_codec.hpp"
 
+#include <boost/endian/conversion.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <sys/resource.h>
 
 namespace sassafrasknot::messages {
 namespace {
@@ -71,6 +73,43 @@
   EXPECT_EQ(DecodeChanges(encoded).value().mRecords, changes.mRecords);
 }
 
+// Guards against a record that makes all others unreadable for the instances
+// that receive it, because another program has written its key in an encoding
+// other than UTF-8.
+TEST(FleetCodec, KeysNeedNotBeUtf8)
+{
+  const fleet::ChangeSet changes{
+    11, 12, { { "servers/\xff\xc0\x80", "x", 12, 3, false } }
+  };
+  const auto decoded = DecodeChanges(EncodeChanges(changes));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded.value().mRecords, changes.mRecords);
+  auto message = MakeMessage();
+  message.mChanges = changes;
+  ASSERT_TRUE(DecodeMessage(Bytes(EncodeMessage(message))));
+}
+
+// Guards against a few bytes that make an instance allocate more memory than it
+// has, because they declare a long content.
+TEST(FleetCodec, RejectsADeclaredLengthThatTheContentCannotHave)
+{
+  auto encoded = EncodeChanges({ 11, 12, {} });
+  constexpr std::uint32_t kDeclaredBytes = 60U << 20U;
+  boost::endian::store_little_u32(
+    reinterpret_cast<unsigned char*>(encoded.data()), kDeclaredBytes);
+  EXPECT_FALSE(DecodeChanges(encoded));
+  rusage before{};
+  getrusage(RUSAGE_SELF, &before);
+  for (int count = 0; count < 10; ++count) {
+    EXPECT_FALSE(DecodeChanges(encoded));
+  }
+  rusage after{};
+  getrusage(RUSAGE_SELF, &after);
+  constexpr long kPageBytes = 4096;
+  EXPECT_LT((after.ru_minflt - before.ru_minflt) * kPageBytes,
+            static_cast<long>(kDeclaredBytes));
+}
+
 // Guards against datagrams of other programs that crash the process or are
 // accepted as a message without a sender.
 RC_GTEST_PROP(FleetCodecFuzz,
