Follow the store after changes too large to read; wait for descriptors

Causes, each shown by a test that failed first: * A watch whose response is above the limit of 4 MB, as after an outage with many versions of a long configuration, failed again and again until the store had discarded its history. So did one that could not be decoded.

--- a/include/sassafrasknot/fleet/store_reader.hpp
+++ b/include/sassafrasknot/fleet/store_reader.hpp
@@ -32,6 +32,7 @@
   Refused,          ///< The store is overloaded or refuses this instance.
   Unavailable,      ///< No response in time, or the connection failed.
   Malformed,        ///< The response could not be decoded.
+  TooLarge,         ///< The response exceeded the limit of its size.
 };
 
 /// @brief Intervals, delays and timeouts of a StoreReader.
--- a/include/sassafrasknot/net/http_client.hpp
+++ b/include/sassafrasknot/net/http_client.hpp
@@ -36,8 +36,8 @@
 };
 
 /// @brief Receives the response; or DeadlineExceeded after a time limit; or
-/// Unavailable if connecting, sending or receiving failed, the body was too
-/// long or the call was cancelled.
+/// TooLarge if the body was too long; or Unavailable if connecting, sending or
+/// receiving failed or the call was cancelled.
 using HttpResponseHandler = std::function<void(state::Result<HttpResponse>)>;
 
 /// @brief Cancels a running call; its handler then receives Unavailable.
--- a/include/sassafrasknot/net/http_server.hpp
+++ b/include/sassafrasknot/net/http_server.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace sassafrasknot::net {
 
@@ -54,6 +55,8 @@
   void Accept();
 
   boost::asio::ip::tcp::acceptor mAcceptor;
+  /// Delays the next accept after a failure.
+  boost::asio::steady_timer mRetryTimer;
   HttpRequestHandler mHandler;
 };
 
--- a/include/sassafrasknot/state/error.hpp
+++ b/include/sassafrasknot/state/error.hpp
@@ -27,6 +27,7 @@
   Overloaded,
   Unavailable,
   DeadlineExceeded,
+  TooLarge,
 };
 
 /// @brief A failure with its verdict and a message for operators.
--- a/src/sassafrasknot/edge/run_instance.cpp
+++ b/src/sassafrasknot/edge/run_instance.cpp
@@ -12,7 +12,8 @@
             const PlatformFormats& aFormats,
             std::function<state::Result<EdgeSettings>()> aReload)
 {
-  // A write to a log pipe whose reader has ended must fail, not end the process.
+  // A write to a log pipe whose reader has ended must fail, not end the
+  // process.
   std::signal(SIGPIPE, SIG_IGN);
   ControlLoop loop(aSettings, aFormats, std::move(aReload));
   if (auto opened = loop.Open(); !opened) {
--- a/src/sassafrasknot/edge/store_client.cpp
+++ b/src/sassafrasknot/edge/store_client.cpp
@@ -56,7 +56,10 @@
   void OnResponse(state::Result<net::HttpResponse> aResponse)
   {
     if (!aResponse) {
-      Fail(fleet::ReadFailure::Unavailable, aResponse.error().mMessage);
+      Fail(aResponse.error().mCode == state::ErrorCode::TooLarge
+             ? fleet::ReadFailure::TooLarge
+             : fleet::ReadFailure::Unavailable,
+           aResponse.error().mMessage);
       return;
     }
     const auto& response = aResponse.value();
--- a/src/sassafrasknot/fleet/store_reader.cpp
+++ b/src/sassafrasknot/fleet/store_reader.cpp
@@ -68,6 +68,11 @@
     aReader.mNextCall = aNow;
     return;
   }
+  if (aFailure == ReadFailure::Malformed || aFailure == ReadFailure::TooLarge) {
+    // The same watch would fail again. A full read contains only the newest
+    // record of each key, in pages of limited size.
+    aReader.mNeedsFull = true;
+  }
   // The first retry comes soon, since most failures concern one connection and
   // do not affect the next one.
   const auto doublings = std::min(aReader.mFailures, 8U);
--- a/src/sassafrasknot/fleet/store_reader_test.cpp
+++ b/src/sassafrasknot/fleet/store_reader_test.cpp
@@ -31,6 +31,25 @@
   EXPECT_TRUE(NextRead(reader, 0, 7, At(milliseconds(9)))->mFull);
 }
 
+// Guards against a reader that stays behind because the changes since its last
+// read cannot be decoded or are too large for one response: many versions of a
+// long configuration during an outage.
+TEST(StoreReader, ReadsEverythingAfterAWatchThatWouldFailAgain)
+{
+  for (const auto failure : { ReadFailure::Malformed, ReadFailure::TooLarge }) {
+    StoreReader reader;
+    std::minstd_rand random;
+    RecordRead(reader, { true, 0, {} }, true, At(milliseconds(5)));
+    ASSERT_FALSE(NextRead(reader, 0, 7, At(milliseconds(5)))->mFull);
+    RecordReadFailure(reader, failure, random, At(milliseconds(9)));
+    EXPECT_FALSE(NextRead(reader, 0, 7, At(milliseconds(9))));
+    const auto next =
+      NextRead(reader, 0, 7, At(milliseconds(9) + reader.mTiming.mMaxBackoff));
+    ASSERT_TRUE(next);
+    EXPECT_TRUE(next->mFull);
+  }
+}
+
 // Guards against calls without backoff while the store refuses them.
 TEST(StoreReader, FailuresAreFollowedByAGrowingBackoff)
 {
--- a/src/sassafrasknot/net/http_client.cpp
+++ b/src/sassafrasknot/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -108,9 +109,12 @@
   /// aMessage is the name of the step that failed, as logs show it.
   void Fail(error_code aError, const char* aMessage)
   {
-    const auto code = aError == beast::error::timeout
-                        ? state::ErrorCode::DeadlineExceeded
-                        : state::ErrorCode::Unavailable;
+    auto code = state::ErrorCode::Unavailable;
+    if (aError == beast::error::timeout) {
+      code = state::ErrorCode::DeadlineExceeded;
+    } else if (aError == http::error::body_limit) {
+      code = state::ErrorCode::TooLarge;
+    }
     Finish(state::Error{ code,
                          state::Verdict::NotRun,
                          ToString(mEndpoint) + ": " + aMessage + ": " +
--- a/src/sassafrasknot/net/http_server.cpp
+++ b/src/sassafrasknot/net/http_server.cpp
@@ -25,6 +25,8 @@
 /// Connections without a request are closed after this time, so that idle ones
 /// do not use up the file descriptors of the process.
 constexpr std::chrono::seconds kIdleTimeout{ 10 };
+/// Time until connections are accepted again after a failure.
+constexpr std::chrono::milliseconds kAcceptRetryInterval{ 100 };
 /// Maximum size of a request's header, in bytes; requests have no body.
 constexpr std::uint32_t kMaxHeaderBytes = 4096;
 
@@ -92,6 +94,7 @@
 HttpServer::HttpServer(boost::asio::io_context& aContext,
                        HttpRequestHandler aHandler)
   : mAcceptor(aContext)
+  , mRetryTimer(aContext)
   , mHandler(std::move(aHandler))
 {
 }
@@ -131,6 +134,7 @@
 {
   error_code ignored; // The acceptor is closed in any case.
   mAcceptor.close(ignored);
+  mRetryTimer.cancel();
 }
 
 void
@@ -143,8 +147,17 @@
     }
     if (!aFailure) {
       std::make_shared<HttpSession>(std::move(aSocket), self->mHandler)->Read();
+      self->Accept();
+      return;
     }
-    self->Accept();
+    // Without free descriptors, accept fails at once for as long as a
+    // connection is pending.
+    self->mRetryTimer.expires_after(kAcceptRetryInterval);
+    self->mRetryTimer.async_wait([self](auto aCancelled) {
+      if (!aCancelled && self->mAcceptor.is_open()) {
+        self->Accept();
+      }
+    });
   });
 }
 
--- a/src/sassafrasknot/state/error.cpp
+++ b/src/sassafrasknot/state/error.cpp
@@ -34,6 +34,8 @@
       return "unavailable";
     case ErrorCode::DeadlineExceeded:
       return "deadline-exceeded";
+    case ErrorCode::TooLarge:
+      return "too-large";
   }
   return "unknown";
 }
