Judge unanswered opens against those of all upstreams; keep late copies

Causes, each shown by a test that failed first: * After a restart of all instances, routers move callers from one instance to another while instances become ready.

Change: an instance averages the outcomes of its opening packets over a second. Unanswered ones are cleared if more than 0.3 of those at other upstreams are unanswered too. A copy whose sequence number lies just before the flow's data goes to the flow's upstream; a new flow of the same port is placed as before (PlacesANewFlowOfAPortInUseAgain). Placement in the router moves to a file of its own.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -111,6 +111,13 @@
                      state::TimePoint aSent,
                      state::TimePoint aNow);
 
+/// @brief Clears the unanswered opens, which showed no failure of this
+/// upstream. If there is no other evidence, it is responsive.
+/// @param aDetector the upstream's failure detector
+/// @return whether its liveness changed
+bool
+ClearUnansweredOpens(FailureDetector& aDetector);
+
 /// @brief Records that another instance has reported the upstream as
 /// unresponsive. The fault may be on that instance's side, so that the report
 /// alone resets no open flow. Has no effect if the upstream has answered a
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -8,6 +8,7 @@
 #include "sassafrasknot/flows/upstream_table.hpp"
 #include "sassafrasknot/state/error.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -97,6 +98,19 @@
   UpstreamToken mToken = kNoToken;
 };
 
+/// @brief Opening packets by outcome, as averages over kOpenOutcomesMemory.
+struct OpenOutcomes
+{
+  /// The caller returned and so had the upstream's answer.
+  double mAnswered = 0;
+  /// The caller did not return within kAnswerTimeout.
+  double mUnanswered = 0;
+};
+
+/// Time constant of the outcomes of opening packets: longer than it takes until
+/// routers have settled on the instances that are ready.
+constexpr std::chrono::milliseconds kOpenOutcomesMemory{ 1000 };
+
 /// @brief State from which callers' packets are decided on: the directory, and
 /// what this instance has observed of flows and upstreams. Not safe for use
 /// from several threads.
@@ -117,6 +131,8 @@
   /// Position among the instances of this data centre.
   InstancePosition mPosition;
   state::TimePoint mLastTick;
+  /// Outcomes of the opening packets that this instance forwarded.
+  OpenOutcomes mOpens;
   /// When the newest packet that any upstream has answered was forwarded. It
   /// verifies that this instance's own link worked then.
   state::TimePoint mLinkVerifiedAt;
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/flows/failure_detector.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sassafrasknot::flows {
 namespace {
@@ -131,6 +132,21 @@
   return UpdateLiveness(aDetector, {}, aNow);
 }
 
+bool
+ClearUnansweredOpens(FailureDetector& aDetector)
+{
+  aDetector.mUnansweredOpens = 0;
+  const bool hasOtherEvidence = aDetector.mRetransmittingFlows > 0 ||
+                                aDetector.mReported ||
+                                aDetector.mDataCentreUnreachable;
+  if (hasOtherEvidence) {
+    return false;
+  }
+  aDetector.mUnansweredSince = {};
+  return std::exchange(aDetector.mLiveness, Liveness::Responsive) !=
+         Liveness::Responsive;
+}
+
 bool
 RecordReport(FailureDetector& aDetector, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/flows/flow_router.hpp"
 
 #include "sassafrasknot/flows/router_liveness.hpp"
+#include "sassafrasknot/flows/router_placement.hpp"
 
 #include <algorithm>
 #include <array>
@@ -13,8 +14,10 @@
 using std::chrono::milliseconds;
 
 /// An active request whose flow has had no packet for this time is no longer
-/// counted as load, and a flow that is not established this long after its
-/// opening packet is removed: their packets probably reach another instance.
+/// counted as load, nor is one whose flow's opening packet is unanswered for
+/// kAnswerTimeout, since upstreams answer it at once. A flow that is not
+/// established this long after its opening packet is removed: their packets
+/// probably reach another instance.
 constexpr milliseconds kActivityTimeout{ 2000 };
 /// If the interval between two ticks is longer than this time, the process
 /// itself was stalled and packets were delayed. Missing answers to packets that
@@ -25,60 +28,6 @@
 /// known.
 constexpr std::chrono::seconds kDefaultIdleTimeout{ 15 };
 
-/// Removes a flow's entry, if there is one, and its load.
-void
-RemoveFlow(FlowRouter& aRouter, const state::FlowKey& aKey)
-{
-  if (const auto found = aRouter.mFlows.find(aKey);
-      found != aRouter.mFlows.end()) {
-    ReleaseLoad(aRouter, found->second);
-    aRouter.mFlows.erase(found);
-  }
-}
-
-/// Makes a decision without an upstream.
-Decision
-MakeRefusal(PacketAction aAction, Reason aReason, state::Verdict aVerdict)
-{
-  return { aAction, aReason, aVerdict, nullptr };
-}
-
-const Route*
-FindRoute(const FlowRouter& aRouter, const state::Endpoint& aService)
-{
-  const auto& routes = aRouter.mDirectory->mConfiguration->mRoutes;
-  const auto found = routes.find(aService);
-  return found == routes.end() ? nullptr : &found->second;
-}
-
-/// Chooses one of a route's services by weight, the same one for all copies of
-/// a flow's opening packet.
-const std::string&
-ChooseService(const Route& aRoute, const state::FlowKey& aFlow)
-{
-  std::uint64_t totalWeight = 0;
-  for (const auto& service : aRoute.mServices) {
-    totalWeight += service.mWeight;
-  }
-  auto offset = totalWeight == 0 ? 0 : state::Hash(aFlow) % totalWeight;
-  for (const auto& service : aRoute.mServices) {
-    if (offset < service.mWeight) {
-      return service.mService;
-    }
-    offset -= service.mWeight;
-  }
-  return aRoute.mServices.front().mService;
-}
-
-/// Returns the estimate of a route, which is made when first needed.
-FlowLengthEstimate&
-FindOrAddEstimate(FlowRouter& aRouter, const Route& aRoute)
-{
-  return aRouter.mFlowLengths
-    .try_emplace(aRoute.mEndpoint, MakeFlowLengthEstimate(aRoute.mKind))
-    .first->second;
-}
-
 /// Records the flow's length once it is known: at its second request, or at its
 /// end if all of its requests were seen here.
 void
@@ -97,86 +46,6 @@
   }
 }
 
-/// Chooses an upstream for a new or reassigned flow and replaces the flow's
-/// entry. The upstream aAvoid is chosen only if there is no other.
-Decision
-PlaceFlow(FlowRouter& aRouter,
-          const CallerPacket& aPacket,
-          const Route& aRoute,
-          UpstreamToken aAvoid,
-          state::TimePoint aNow)
-{
-  const auto& service = ChooseService(aRoute, aPacket.mFlow);
-  const auto found = aRouter.mUpstreams.mByService.find(service);
-  const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
-  UpstreamRecord* record = nullptr;
-  if (found != aRouter.mUpstreams.mByService.end()) {
-    record = ChooseUpstream(found->second,
-                            { length, aRouter.mSettings.mDataCentre, aAvoid },
-                            aRouter.mSettings.mPolicy,
-                            aRouter.mRandom,
-                            aNow);
-  }
-  RemoveFlow(aRouter, aPacket.mFlow);
-  if (record == nullptr) {
-    return MakeRefusal(
-      PacketAction::Reset, Reason::NoUpstream, state::Verdict::NotRun);
-  }
-  RecordTrial(record->mFailureDetector, aNow);
-  auto& entry = aRouter.mFlows[aPacket.mFlow];
-  entry.mToken = record->mToken;
-  entry.mKind = aRoute.mKind;
-  entry.mLength = length;
-  entry.mOpenedHere = true;
-  entry.mOpenSent = aNow;
-  entry.mLastPacket = aNow;
-  entry.mCountedInLoad = true;
-  // A caller opens a flow to send a request, which therefore counts already.
-  entry.mRequestActive = true;
-  AddLoad(*record, entry, 1);
-  return { PacketAction::Forward,
-           aAvoid == kNoToken ? Reason::Placed : Reason::Reassigned,
-           state::Verdict::NotRun,
-           record };
-}
-
-/// Decides on an opening packet. A retransmission goes to the same upstream
-/// until the answer is overdue or the upstream is no longer known; then the
-/// flow is reassigned. Any other opening packet is placed as a new flow, also
-/// if an entry of an earlier flow with the same key exists.
-Decision
-OnOpen(FlowRouter& aRouter, const CallerPacket& aPacket, state::TimePoint aNow)
-{
-  const auto* route = FindRoute(aRouter, aPacket.mFlow.mService);
-  if (route == nullptr || route->mServices.empty()) {
-    return MakeRefusal(
-      PacketAction::Reset, Reason::NoRoute, state::Verdict::NotRun);
-  }
-  const auto found = aRouter.mFlows.find(aPacket.mFlow);
-  if (found == aRouter.mFlows.end() || found->second.mEstablished ||
-      aPacket.mRetransmissions == 0) {
-    return PlaceFlow(aRouter, aPacket, *route, kNoToken, aNow);
-  }
-  auto& entry = found->second;
-  auto* record = FindUpstream(aRouter.mUpstreams, entry.mToken);
-  // A caller that retransmits its opening packet has received no answer. The
-  // flow is reassigned only once the answer is overdue, since two upstreams
-  // must not both answer one opening packet.
-  const bool isAnswerOverdue = aNow - entry.mOpenSent >= kAnswerTimeout;
-  if (record != nullptr && !isAnswerOverdue) {
-    return { PacketAction::Forward,
-             Reason::Retransmitted,
-             state::Verdict::NotRun,
-             record };
-  }
-  if (record != nullptr) {
-    HandleRetransmission(aRouter, *record, entry.mOpenSent, aNow);
-  }
-  auto decision = PlaceFlow(aRouter, aPacket, *route, entry.mToken, aNow);
-  decision.mPreviousUpstream = record;
-  return decision;
-}
-
 /// Returns the entry of an established flow. If there is none, or if it names
 /// an upstream other than aRecord, it is made anew as that of a flow which
 /// another instance has placed on aRecord.
@@ -246,6 +115,9 @@
   }
   auto& entry = FindOrAddEntry(aRouter, aPacket, *route, *record, aNow);
   AddLoad(*record, entry, -1);
+  if (entry.mOpenedHere && !entry.mEstablished) {
+    aRouter.mOpens.mAnswered += 1;
+  }
   const auto requestsBefore = entry.mRequests;
   const auto findings = RecordPacket(entry, aPacket, aNow);
   const bool endsFlow = aPacket.mKind == state::SegmentKind::Finish ||
@@ -365,6 +237,7 @@
     aRouter.mIgnoreEvidenceBefore = aNow;
   }
   UpdateLoadAverages(aRouter.mUpstreams, aNow - aRouter.mLastTick);
+  DecayOpenOutcomes(aRouter.mOpens, aNow - aRouter.mLastTick);
   aRouter.mLastTick = aNow;
   const auto& configuration =
     aRouter.mDirectory ? aRouter.mDirectory->mConfiguration : nullptr;
@@ -382,22 +255,26 @@
       it = aRouter.mFlows.erase(it);
       continue;
     }
-    if (!entry.mEstablished && !entry.mMissingAnswerRecorded &&
-        entry.mOpenSent >= aRouter.mIgnoreEvidenceBefore &&
-        aNow - entry.mOpenSent >= kAnswerTimeout) {
+    const bool isOpenUnanswered =
+      !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
+    if (isOpenUnanswered && !entry.mMissingAnswerRecorded &&
+        entry.mOpenSent >= aRouter.mIgnoreEvidenceBefore) {
       entry.mMissingAnswerRecorded = true;
+      aRouter.mOpens.mUnanswered += 1;
       RecordLivenessChange(
         aRouter,
         *record,
         RecordUnansweredOpen(record->mFailureDetector, entry.mOpenSent, aNow));
     }
-    if (entry.mRequestActive && aNow - entry.mLastPacket > kActivityTimeout) {
+    if (entry.mRequestActive &&
+        (isOpenUnanswered || aNow - entry.mLastPacket > kActivityTimeout)) {
       AddLoad(*record, entry, -1);
       entry.mRequestActive = false;
       AddLoad(*record, entry, 1);
     }
     ++it;
   }
+  DiscardWidespreadUnansweredOpens(aRouter);
 }
 
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/flow_router_test.cpp
+++ b/src/sassafrasknot/flows/flow_router_test.cpp
@@ -110,6 +110,55 @@
   EXPECT_NE(overdue.mUpstream, first.mUpstream);
 }
 
+// Guards against a late copy of an opening packet that opens the flow at a
+// second upstream, whose token would then replace that of the first one.
+TEST(FlowRouter, SendsLateCopiesOfAnOpenToTheUpstreamOfTheFlow)
+{
+  for (const bool isPlacedHere : { true, false }) {
+    RouterFixture fixture;
+    fixture.AddUpstream("i-1", "a");
+    fixture.AddUpstream("i-2", "a");
+    fixture.Publish(milliseconds(0));
+    auto open =
+      RouterFixture::MakePacket(5, kRequestPort, state::SegmentKind::Open);
+    open.mSequence = 0xFFFFFF00;
+    auto token = TokenOf("i-2");
+    if (isPlacedHere) {
+      token =
+        OnPacket(fixture.mRouter, open, At(milliseconds(1))).mUpstream->mToken;
+    }
+    const auto request = open.mSequence + 1;
+    fixture.Send(5, kRequestPort, token, request, 1, 900, milliseconds(190));
+    open.mRetransmissions = 1;
+    const auto late = OnPacket(fixture.mRouter, open, At(milliseconds(201)));
+    EXPECT_EQ(late.mReason, Reason::Retransmitted);
+    ASSERT_NE(late.mUpstream, nullptr);
+    EXPECT_EQ(late.mUpstream->mToken, token);
+    EXPECT_EQ(FindUpstream(fixture.mRouter.mUpstreams, token)
+                ->mFailureDetector.mRetransmittingFlows,
+              0U);
+  }
+}
+
+// Guards against a caller that uses its port again, and whose new flow goes to
+// the upstream of the old one because the first copy of its opening packet was
+// lost.
+TEST(FlowRouter, PlacesANewFlowOfAPortInUseAgain)
+{
+  RouterFixture fixture;
+  fixture.AddUpstream("i-1", "a");
+  fixture.AddUpstream("i-2", "a");
+  fixture.Publish(milliseconds(0));
+  fixture.Send(5, kRequestPort, TokenOf("i-2"), 1000, 1, 900, milliseconds(1));
+  auto open =
+    RouterFixture::MakePacket(5, kRequestPort, state::SegmentKind::Open);
+  open.mSequence = 0x80000000;
+  open.mRetransmissions = 1;
+  const auto decision = OnPacket(fixture.mRouter, open, At(milliseconds(500)));
+  EXPECT_EQ(decision.mReason, Reason::Placed);
+  EXPECT_EQ(decision.mUpstream->mUpstream.mId, "i-1");
+}
+
 // Guards against a route with several services that sends all flows to one.
 TEST(FlowRouter, SplitsARouteByWeight)
 {
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -2,6 +2,8 @@
 
 #include "sassafrasknot/flows/data_centre_reachability.hpp"
 
+#include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace sassafrasknot::flows {
@@ -111,6 +113,36 @@
   CheckDataCentre(aRouter, aRecord.mUpstream.mDataCentre, aNow);
 }
 
+void
+DecayOpenOutcomes(OpenOutcomes& aOutcomes, state::Duration aElapsed)
+{
+  const double factor =
+    std::exp(-std::chrono::duration<double>(aElapsed) / kOpenOutcomesMemory);
+  aOutcomes.mAnswered *= factor;
+  aOutcomes.mUnanswered *= factor;
+}
+
+void
+DiscardWidespreadUnansweredOpens(FlowRouter& aRouter)
+{
+  // More than the share of upstreams that fail at once, and less than that of
+  // callers which routers move when an instance joins or leaves.
+  constexpr double kMaxUnansweredShare = 0.3;
+  if (aRouter.mOpens.mUnanswered < kSuspectedAfterUnansweredOpens) {
+    return;
+  }
+  for (auto& [token, record] : aRouter.mUpstreams.mByToken) {
+    const double own = record.mFailureDetector.mUnansweredOpens;
+    const double unanswered = aRouter.mOpens.mUnanswered - own;
+    const double all = unanswered + aRouter.mOpens.mAnswered;
+    if (own > 0 && unanswered >= kSuspectedAfterUnansweredOpens &&
+        unanswered > kMaxUnansweredShare * all) {
+      RecordLivenessChange(
+        aRouter, record, ClearUnansweredOpens(record.mFailureDetector));
+    }
+  }
+}
+
 std::vector<AbandonedFlow>
 AbandonUnansweredRequests(FlowRouter& aRouter)
 {
--- a/src/sassafrasknot/flows/router_liveness.hpp
+++ b/src/sassafrasknot/flows/router_liveness.hpp
@@ -31,6 +31,16 @@
                      state::TimePoint aSent,
                      state::TimePoint aNow);
 
+/// Lets outcomes of opening packets count less as time passes.
+void
+DecayOpenOutcomes(OpenOutcomes& aOutcomes, state::Duration aElapsed);
+
+/// Clears the unanswered opens of upstreams if many of the others' are
+/// unanswered too: the callers then probably reach another instance, as after a
+/// change of the instances that routers use.
+void
+DiscardWidespreadUnansweredOpens(FlowRouter& aRouter);
+
 } // namespace sassafrasknot::flows
 
 #endif
--- /dev/null
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -0,0 +1,178 @@
+#include "sassafrasknot/flows/router_placement.hpp"
+
+#include "sassafrasknot/flows/router_liveness.hpp"
+
+#include <string>
+
+namespace sassafrasknot::flows {
+namespace {
+
+/// Chooses one of a route's services by weight, the same one for all copies of
+/// a flow's opening packet.
+const std::string&
+ChooseService(const Route& aRoute, const state::FlowKey& aFlow)
+{
+  std::uint64_t totalWeight = 0;
+  for (const auto& service : aRoute.mServices) {
+    totalWeight += service.mWeight;
+  }
+  auto offset = totalWeight == 0 ? 0 : state::Hash(aFlow) % totalWeight;
+  for (const auto& service : aRoute.mServices) {
+    if (offset < service.mWeight) {
+      return service.mService;
+    }
+    offset -= service.mWeight;
+  }
+  return aRoute.mServices.front().mService;
+}
+
+/// Chooses an upstream for a flow, or returns null if none accepts it.
+UpstreamRecord*
+ChooseForFlow(FlowRouter& aRouter,
+              const CallerPacket& aPacket,
+              const Route& aRoute,
+              UpstreamToken aAvoid,
+              state::TimePoint aNow)
+{
+  const auto& service = ChooseService(aRoute, aPacket.mFlow);
+  const auto found = aRouter.mUpstreams.mByService.find(service);
+  if (found == aRouter.mUpstreams.mByService.end()) {
+    return nullptr;
+  }
+  const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
+  return ChooseUpstream(found->second,
+                        { length, aRouter.mSettings.mDataCentre, aAvoid },
+                        aRouter.mSettings.mPolicy,
+                        aRouter.mRandom,
+                        aNow);
+}
+
+/// Places a flow on an upstream and replaces the flow's entry.
+Decision
+PlaceOn(FlowRouter& aRouter,
+        UpstreamRecord& aRecord,
+        const CallerPacket& aPacket,
+        const Route& aRoute,
+        Reason aReason,
+        state::TimePoint aNow)
+{
+  RecordTrial(aRecord.mFailureDetector, aNow);
+  auto& entry = aRouter.mFlows[aPacket.mFlow];
+  entry.mToken = aRecord.mToken;
+  entry.mKind = aRoute.mKind;
+  entry.mLength = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
+  entry.mOpenedHere = true;
+  entry.mOpenSent = aNow;
+  entry.mLastPacket = aNow;
+  entry.mCountedInLoad = true;
+  // A caller opens a flow to send a request, which therefore counts already.
+  entry.mRequestActive = true;
+  AddLoad(aRecord, entry, 1);
+  return { PacketAction::Forward, aReason, state::Verdict::NotRun, &aRecord };
+}
+
+/// Chooses an upstream for a new or reassigned flow and replaces the flow's
+/// entry. The upstream aAvoid is chosen only if there is no other.
+Decision
+PlaceFlow(FlowRouter& aRouter,
+          const CallerPacket& aPacket,
+          const Route& aRoute,
+          UpstreamToken aAvoid,
+          state::TimePoint aNow)
+{
+  RemoveFlow(aRouter, aPacket.mFlow);
+  auto* record = ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, aNow);
+  if (record == nullptr) {
+    return MakeRefusal(
+      PacketAction::Reset, Reason::NoUpstream, state::Verdict::NotRun);
+  }
+  return PlaceOn(aRouter,
+                 *record,
+                 aPacket,
+                 aRoute,
+                 aAvoid == kNoToken ? Reason::Placed : Reason::Reassigned,
+                 aNow);
+}
+
+/// Returns whether an opening packet is a copy that arrives after its flow was
+/// established: the flow's data begin shortly after the packet's sequence
+/// number. A new flow of the same port begins at a random one.
+bool
+IsLateCopy(const FlowEntry& aEntry, const CallerPacket& aPacket)
+{
+  constexpr std::uint32_t kMaxBytesSinceOpen = 1U << 20U;
+  return aEntry.mEstablished &&
+         aEntry.mNextSequence - aPacket.mSequence < kMaxBytesSinceOpen;
+}
+
+} // namespace
+
+Decision
+MakeRefusal(PacketAction aAction, Reason aReason, state::Verdict aVerdict)
+{
+  return { aAction, aReason, aVerdict, nullptr };
+}
+
+const Route*
+FindRoute(const FlowRouter& aRouter, const state::Endpoint& aService)
+{
+  const auto& routes = aRouter.mDirectory->mConfiguration->mRoutes;
+  const auto found = routes.find(aService);
+  return found == routes.end() ? nullptr : &found->second;
+}
+
+FlowLengthEstimate&
+FindOrAddEstimate(FlowRouter& aRouter, const Route& aRoute)
+{
+  return aRouter.mFlowLengths
+    .try_emplace(aRoute.mEndpoint, MakeFlowLengthEstimate(aRoute.mKind))
+    .first->second;
+}
+
+void
+RemoveFlow(FlowRouter& aRouter, const state::FlowKey& aKey)
+{
+  if (const auto found = aRouter.mFlows.find(aKey);
+      found != aRouter.mFlows.end()) {
+    ReleaseLoad(aRouter, found->second);
+    aRouter.mFlows.erase(found);
+  }
+}
+
+Decision
+OnOpen(FlowRouter& aRouter, const CallerPacket& aPacket, state::TimePoint aNow)
+{
+  const auto* route = FindRoute(aRouter, aPacket.mFlow.mService);
+  if (route == nullptr || route->mServices.empty()) {
+    return MakeRefusal(
+      PacketAction::Reset, Reason::NoRoute, state::Verdict::NotRun);
+  }
+  const auto found = aRouter.mFlows.find(aPacket.mFlow);
+  if (found == aRouter.mFlows.end() || aPacket.mRetransmissions == 0) {
+    return PlaceFlow(aRouter, aPacket, *route, kNoToken, aNow);
+  }
+  auto& entry = found->second;
+  auto* record = FindUpstream(aRouter.mUpstreams, entry.mToken);
+  if (entry.mEstablished && !IsLateCopy(entry, aPacket)) {
+    return PlaceFlow(aRouter, aPacket, *route, kNoToken, aNow);
+  }
+  // A caller that retransmits its opening packet has received no answer. The
+  // flow is reassigned only once the answer is overdue, since two upstreams
+  // must not both answer one opening packet.
+  const bool isAnswerOverdue =
+    !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
+  if (record != nullptr && !isAnswerOverdue) {
+    return { PacketAction::Forward,
+             Reason::Retransmitted,
+             state::Verdict::NotRun,
+             record };
+  }
+  if (record != nullptr) {
+    HandleRetransmission(aRouter, *record, entry.mOpenSent, aNow);
+  }
+  auto decision = PlaceFlow(aRouter, aPacket, *route, entry.mToken, aNow);
+  decision.mPreviousUpstream = record;
+  return decision;
+}
+
+} // namespace sassafrasknot::flows
