--- a/include/sassafrasknot/transport/platform_client.hpp
+++ b/include/sassafrasknot/transport/platform_client.hpp
@@ -44,10 +44,10 @@
 {
 public:
   /// @brief Receives the decoded response to a call, or the error that ended
-  /// the call: Unavailable (not reached, any other HTTP status than 200 and
-  /// 429, client stopped or without endpoints), DeadlineExceeded, Overloaded
-  /// (HTTP status 429) or Malformed. It may be called after the client was
-  /// destroyed.
+  /// the call: Unavailable (not reached, response too long, any other HTTP
+  /// status than 200 and 429, client stopped or without endpoints),
+  /// DeadlineExceeded, Overloaded (HTTP status 429) or Malformed. It may be
+  /// called after the client was destroyed.
   using ResponseHandler =
     std::function<void(state::Result<protocol::PlatformResponse>)>;
 
--- a/src/sassafrasknot/transport/platform_client.cpp
+++ b/src/sassafrasknot/transport/platform_client.cpp
@@ -52,6 +52,11 @@
   if (!aResponse) {
     auto error = aResponse.error();
     error.mMessage = "platform " + error.mMessage;
+    // Reads of this service are never split, so that a response above the limit
+    // is no different from an endpoint that does not respond.
+    if (error.mCode == state::ErrorCode::TooLarge) {
+      error.mCode = state::ErrorCode::Unavailable;
+    }
     return error;
   }
   if (const auto status = aResponse.value().mStatus; status != kOk) {
