--- a/include/sassafrasknot/edge/platform_formats.hpp
+++ b/include/sassafrasknot/edge/platform_formats.hpp
@@ -88,9 +88,8 @@
 
 /// @brief Content of a record: a configuration, an upstream, or nothing that an
 /// instance uses.
-using RecordContent = std::variant<std::monostate,
-                                   DecodedConfiguration,
-                                   flows::Upstream>;
+using RecordContent =
+  std::variant<std::monostate, DecodedConfiguration, flows::Upstream>;
 
 /// @brief Functions that call and decode the store of one platform.
 struct StoreFormat
--- a/src/sassafrasknot/net/http_test.cpp
+++ b/src/sassafrasknot/net/http_test.cpp
@@ -95,7 +95,9 @@
   const std::string body(2000, 'x');
   for (const std::string& head :
        { std::string("Content-Length: 2000\r\n\r\n"), std::string("\r\n") }) {
-    const auto response = GetBytes("HTTP/1.1 200 OK\r\n" + head + body, 1000);
+    std::string bytes = "HTTP/1.1 200 OK\r\n" + head;
+    bytes += body;
+    const auto response = GetBytes(bytes, 1000);
     ASSERT_FALSE(response);
     EXPECT_EQ(response.error().mCode, state::ErrorCode::TooLarge);
   }
