--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -230,6 +230,28 @@
   EXPECT_EQ(abandoned[0].mPacket.mFlow.mCaller.mPort, 3);
 }
 
+// Guards against new flows that keep going to a crashed upstream because
+// another process answers probes at its address. That one does not answer the
+// flows, so that after it, only an answered flow may make the upstream
+// responsive again.
+TEST(FailureDetector, ProbesDoNotReviveAnUpstreamWhoseFlowsStayUnanswered)
+{
+  TwoUnansweredFeeds fixture;
+  auto& router = fixture.mRouter;
+  SendRequest(fixture, 1, fixture.mToken, milliseconds(300));
+  ASSERT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Suspected);
+  OnProbeSuccess(router, fixture.mToken, At(milliseconds(400)));
+  ASSERT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Responsive);
+  fixture.Send(5, kFeedPort, fixture.mToken, 1, 1, 170, milliseconds(500));
+  fixture.Send(5, kFeedPort, fixture.mToken, 1, 1, 170, milliseconds(700));
+  ASSERT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Suspected);
+  OnProbeSuccess(router, fixture.mToken, At(milliseconds(1100)));
+  EXPECT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Suspected);
+  fixture.Send(6, kFeedPort, fixture.mToken, 1, 1, 170, milliseconds(1200));
+  fixture.Send(6, kFeedPort, fixture.mToken, 171, 400, 0, milliseconds(1240));
+  EXPECT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Responsive);
+}
+
 /// A router with one local upstream and several in data centre "b", i-0 and up,
 /// whose requests may be left unanswered.
 struct RemoteFeeds : RouterFixture
