--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -98,7 +98,8 @@
   UpstreamToken mToken = kNoToken;
 };
 
-/// @brief Opening packets by outcome, as averages over kOpenOutcomesMemory.
+/// @brief Numbers of opening packets by outcome. Older ones count less; see
+/// kOpenOutcomesMemory.
 struct OpenOutcomes
 {
   /// The caller returned and so had the upstream's answer.
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -70,6 +70,7 @@
   /// Decodes a record and updates the directory builder. An upstream whose
   /// record is malformed is removed from the builder.
   void ApplyRecord(const fleet::Record& aRecord);
+  /// Replaces the configuration, and logs and counts its defective routes.
   void ApplyConfiguration(const DecodedConfiguration& aDecoded,
                           const std::string& aRevision);
   /// Sends a new directory to the traffic thread if records have changed; not
