Keep open flows of a route that only other instances know

Cause: an instance reset each packet of an established flow for which its own configuration had no route.

Change: a flow is reset for want of a route only if this instance has seen it with the route, or if the store has confirmed the directory since the flow was first seen. Otherwise its packets follow their token.

The rule that pulls the other way: a dropped route is no longer served. Its open flows are still reset at once (ResetsFlowsOfADroppedRouteAtOnce), new ones are refused, and flows of a route that this instance never knew are reset once the store confirms that there is none.

With the check taken out, KeepsFlowsOfARouteThatOnlyOtherInstancesKnow and ResetsFlowsOfAnUnknownRouteOnceTheStoreConfirmsThatThereIsNone fail.

--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -7,6 +7,7 @@
 #include "sassafrasknot/state/time.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace sassafrasknot::flows {
 
@@ -42,6 +43,9 @@
   state::TimePoint mNewDataSent;
   /// When the newest packet arrived.
   state::TimePoint mLastPacket;
+  /// When this instance first saw the flow, if its configuration has had no
+  /// route for the flow ever since.
+  std::optional<state::TimePoint> mUnroutedSince;
   /// Sequence number after the caller's newest byte, modulo 2^32.
   std::uint32_t mNextSequence = 0;
   /// Highest cumulative acknowledgement of the upstream's bytes, modulo 2^32.
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -38,6 +38,7 @@
   Reassigned,    ///< A copy of the opening packet went to another upstream.
   Retransmitted, ///< A copy of the opening packet went to the same upstream.
   Established,   ///< The packet went to the upstream that its token names.
+  Unrouted,      ///< The same, although the configuration has no route yet.
   NotReady,      ///< There is no directory or configuration yet.
   NoRoute,       ///< The configuration has no route for the address.
   NoUpstream,    ///< No upstream of the service accepts new flows.
@@ -48,7 +49,7 @@
 };
 
 /// @brief Number of reasons.
-constexpr std::size_t kReasonCount = 10;
+constexpr std::size_t kReasonCount = 11;
 
 /// @brief Returns the name of a reason as it stands in logs and metrics.
 /// @param aReason reason of a decision
@@ -112,6 +113,12 @@
 /// routers have settled on the instances that are ready.
 constexpr std::chrono::milliseconds kOpenOutcomesMemory{ 1000 };
 
+/// A flow without a route is reset only once the store has confirmed the
+/// configuration this long after the flow was first seen. Confirmations are
+/// dated by their arrival here; a response of the store may be as old as the
+/// time limit of its call (1.6 s).
+constexpr std::chrono::milliseconds kConfirmationMargin{ 2000 };
+
 /// @brief State from which callers' packets are decided on: the directory, and
 /// what this instance has observed of flows and upstreams. Not safe for use
 /// from several threads.
@@ -120,6 +127,8 @@
   RouterSettings mSettings;
   std::minstd_rand mRandom;
   std::shared_ptr<const Directory> mDirectory;
+  /// Latest time at which the store confirmed the directory as its newest.
+  state::TimePoint mDirectoryConfirmedAt;
   UpstreamTable mUpstreams;
   std::unordered_map<state::FlowKey, FlowEntry> mFlows;
   /// Length of the flows of each route.
@@ -159,6 +168,12 @@
             std::shared_ptr<const Directory> aDirectory,
             state::TimePoint aNow);
 
+/// @brief Records that the store has confirmed the directory as its newest.
+/// @param aRouter the router
+/// @param aConfirmedAt when it did so
+void
+OnDirectoryConfirmed(FlowRouter& aRouter, state::TimePoint aConfirmedAt);
+
 /// @brief Applies this instance's position among those of its data centre,
 /// which determines its subset of upstreams.
 /// @param aRouter the router
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -26,7 +26,8 @@
 /// Before its time limit a planned stop ends only when no packet has arrived
 /// for this time.
 constexpr milliseconds kIdleTime{ 500 };
-/// Interval between observations of the known revision's age.
+/// Interval at which the age of the known revision is observed and passed to
+/// the traffic thread.
 constexpr milliseconds kConfirmedAgeInterval{ 1000 };
 /// Receive buffer for messages of other instances, in bytes.
 constexpr std::size_t kReceiveBufferBytes = std::size_t{ 256 } << 10U;
@@ -182,6 +183,9 @@
   if (now >= mNextConfirmedAge && mCore.mReader.mEverConfirmed) {
     mNextConfirmedAge = now + kConfirmedAgeInterval;
     Observe(mMetrics->mConfirmedAge, now - mCore.mReader.mConfirmedAt);
+    if (!mDirectoryOutdated) {
+      mTraffic.ConfirmDirectory(mCore.mReader.mConfirmedAt);
+    }
   }
   CheckStop(now);
   mLog->Flush();
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -43,6 +43,7 @@
   using flows::Reason;
   switch (aDecision.mReason) {
     case Reason::Established:
+    case Reason::Unrouted:
     case Reason::NotReady:
       return false;
     case Reason::Placed:
@@ -117,6 +118,14 @@
     });
 }
 
+void
+TrafficLoop::ConfirmDirectory(state::TimePoint aConfirmedAt)
+{
+  boost::asio::post(mContext, [this, aConfirmedAt] {
+    flows::OnDirectoryConfirmed(mRouter, aConfirmedAt);
+  });
+}
+
 void
 TrafficLoop::SetPeerLoads(PeerLoadUpdate aUpdate)
 {
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -85,6 +85,8 @@
   /// Replaces the directory, which is the part of the catalogue that traffic
   /// uses, and processes the packets held until the first one.
   void SetDirectory(std::shared_ptr<const flows::Directory> aDirectory);
+  /// Records when the store confirmed the last directory as its newest.
+  void ConfirmDirectory(state::TimePoint aConfirmedAt);
   /// Replaces the loads of other instances and this instance's position.
   void SetPeerLoads(PeerLoadUpdate aUpdate);
   /// Marks upstreams that other instances have found unresponsive.
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -46,13 +46,30 @@
   }
 }
 
+/// Records the kind and the expected length of a flow that another instance has
+/// placed.
+void
+ApplyRoute(FlowRouter& aRouter,
+           const Route& aRoute,
+           UpstreamRecord& aRecord,
+           FlowEntry& aEntry)
+{
+  AddLoad(aRecord, aEntry, -1);
+  aEntry.mUnroutedSince.reset();
+  aEntry.mKind = aRoute.mKind;
+  aEntry.mLength = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
+  aEntry.mCountedInLoad = true;
+  AddLoad(aRecord, aEntry, 1);
+}
+
 /// Returns the entry of an established flow. If there is none, or if it names
 /// an upstream other than aRecord, it is made anew as that of a flow which
 /// another instance has placed on aRecord.
+/// @param aRoute the flow's route, or null if the configuration has none
 FlowEntry&
 FindOrAddEntry(FlowRouter& aRouter,
                const CallerPacket& aPacket,
-               const Route& aRoute,
+               const Route* aRoute,
                UpstreamRecord& aRecord,
                state::TimePoint aNow)
 {
@@ -68,15 +85,41 @@
     entry.mNextSequence = aPacket.mSequence;
     entry.mAcknowledged = aPacket.mAcknowledged;
     entry.mToken = aRecord.mToken;
-    entry.mKind = aRoute.mKind;
-    entry.mLength = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
     entry.mOpenSent = aNow;
-    entry.mCountedInLoad = true;
-    AddLoad(aRecord, entry, 1);
+    entry.mUnroutedSince = aNow;
+  }
+  if (entry.mUnroutedSince && aRoute != nullptr) {
+    ApplyRoute(aRouter, *aRoute, aRecord, entry);
   }
   return entry;
 }
 
+/// Returns whether a configuration has dropped the route of a flow for which
+/// the present one has none. Otherwise the flow may belong to a route that was
+/// added by a configuration which only other instances have received so far.
+bool
+IsRouteDropped(const FlowRouter& aRouter, const FlowEntry& aEntry)
+{
+  return !aEntry.mUnroutedSince ||
+         aRouter.mDirectoryConfirmedAt >
+           *aEntry.mUnroutedSince + kConfirmationMargin;
+}
+
+/// Resets a flow whose route was dropped. The entry stays until the flow is
+/// idle, so that further packets are reset too.
+Decision
+RefuseDroppedRoute(FlowRouter& aRouter,
+                   FlowEntry& aEntry,
+                   state::TimePoint aNow)
+{
+  ReleaseLoad(aRouter, aEntry);
+  aEntry.mCountedInLoad = false;
+  aEntry.mRequestActive = false;
+  aEntry.mLastPacket = aNow;
+  return MakeRefusal(
+    PacketAction::Reset, Reason::NoRoute, state::Verdict::MayHaveRun);
+}
+
 /// Returns whether a retransmission of a packet forwarded at aSent shows that
 /// its answer is missing: neither did another packet overtake it, nor was this
 /// process stalled since.
@@ -92,18 +135,14 @@
 /// Decides on a packet of an established flow and records what it shows. The
 /// packet goes to the upstream that its token names. An idempotent flow that
 /// sends data to an unresponsive upstream, or retransmits to one that other
-/// instances report as unresponsive, is reset instead.
+/// instances report as unresponsive, is reset instead, and so is a flow whose
+/// route was dropped.
 Decision
 OnEstablished(FlowRouter& aRouter,
               const CallerPacket& aPacket,
               state::TimePoint aNow)
 {
   const auto* route = FindRoute(aRouter, aPacket.mFlow.mService);
-  if (route == nullptr) {
-    RemoveFlow(aRouter, aPacket.mFlow);
-    return MakeRefusal(
-      PacketAction::Reset, Reason::NoRoute, state::Verdict::MayHaveRun);
-  }
   if (aPacket.mToken == kNoToken) {
     return MakeRefusal(
       PacketAction::Discard, Reason::NoToken, state::Verdict::NotRun);
@@ -113,7 +152,10 @@
     return MakeRefusal(
       PacketAction::Discard, Reason::UnknownToken, state::Verdict::MayHaveRun);
   }
-  auto& entry = FindOrAddEntry(aRouter, aPacket, *route, *record, aNow);
+  auto& entry = FindOrAddEntry(aRouter, aPacket, route, *record, aNow);
+  if (route == nullptr && IsRouteDropped(aRouter, entry)) {
+    return RefuseDroppedRoute(aRouter, entry, aNow);
+  }
   AddLoad(*record, entry, -1);
   if (entry.mOpenedHere && !entry.mEstablished) {
     aRouter.mOpens.mAnswered += 1;
@@ -122,11 +164,13 @@
   const auto findings = RecordPacket(entry, aPacket, aNow);
   const bool endsFlow = aPacket.mKind == state::SegmentKind::Finish ||
                         aPacket.mKind == state::SegmentKind::Reset;
-  UpdateFlowLength(aRouter,
-                   *route,
-                   entry,
-                   requestsBefore,
-                   aPacket.mKind == state::SegmentKind::Finish);
+  if (route != nullptr) {
+    UpdateFlowLength(aRouter,
+                     *route,
+                     entry,
+                     requestsBefore,
+                     aPacket.mKind == state::SegmentKind::Finish);
+  }
   if (endsFlow) {
     entry.mRequestActive = false;
     entry.mCountedInLoad = false;
@@ -161,7 +205,7 @@
     aRouter.mFlows.erase(aPacket.mFlow);
   }
   Decision decision{ PacketAction::Forward,
-                     Reason::Established,
+                     route == nullptr ? Reason::Unrouted : Reason::Established,
                      state::Verdict::MayHaveRun,
                      record };
   if (findings.mAnswersRequest) {
@@ -176,8 +220,9 @@
 ToString(Reason aReason)
 {
   constexpr std::array<std::string_view, kReasonCount> names{
-    "placed",   "replaced",    "repeated", "established",   "not_ready",
-    "no_route", "no_upstream", "no_token", "unknown_token", "upstream_silent"
+    "placed",   "replaced",      "repeated",       "established",
+    "unrouted", "not_ready",     "no_route",       "no_upstream",
+    "no_token", "unknown_token", "upstream_silent"
   };
   return names[static_cast<std::size_t>(aReason)];
 }
@@ -207,6 +252,13 @@
     aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aRouter.mPosition);
 }
 
+void
+OnDirectoryConfirmed(FlowRouter& aRouter, state::TimePoint aConfirmedAt)
+{
+  aRouter.mDirectoryConfirmedAt =
+    std::max(aRouter.mDirectoryConfirmedAt, aConfirmedAt);
+}
+
 void
 OnPosition(FlowRouter& aRouter, const InstancePosition& aPosition)
 {
--- a/src/sassafrasknot/flows/flow_router_test.cpp
+++ b/src/sassafrasknot/flows/flow_router_test.cpp
@@ -159,6 +159,121 @@
   EXPECT_EQ(decision.mUpstream->mUpstream.mId, "i-1");
 }
 
+/// A router that receives flows on a route of which only other instances know.
+struct UnknownRoute : RouterFixture
+{
+  static constexpr std::uint16_t kNewPort = 9443;
+
+  UnknownRoute()
+  {
+    AddUpstream("i-1", "a");
+    Publish(milliseconds(0));
+    OnDirectoryConfirmed(mRouter, At(milliseconds(0)));
+  }
+
+  /// Publishes a configuration that has the route.
+  void Add(milliseconds aTime)
+  {
+    auto configuration = *mDirectory.mConfiguration;
+    AddRoute(configuration, kNewPort, RequestKind::Idempotent);
+    mDirectory.mConfiguration =
+      std::make_shared<const Configuration>(configuration);
+    Publish(aTime);
+  }
+
+  /// Publishes a configuration without the route.
+  void Drop(milliseconds aTime)
+  {
+    auto configuration = *mDirectory.mConfiguration;
+    configuration.mRoutes.erase({ kServiceAddress, kNewPort });
+    mDirectory.mConfiguration =
+      std::make_shared<const Configuration>(configuration);
+    Publish(aTime);
+  }
+
+  /// Sends the next request of a flow at i-1.
+  Decision Request(std::uint16_t aCallerPort, milliseconds aTime)
+  {
+    mSequence += 100;
+    return Send(aCallerPort,
+                kNewPort,
+                TokenOf("i-1"),
+                mSequence - 100,
+                mSequence,
+                100,
+                aTime);
+  }
+
+  std::uint32_t mSequence = 1;
+};
+
+// Guards against resets of open flows of a route that a configuration has just
+// added, by an instance that has not received it yet (review case 3).
+TEST(FlowRouter, KeepsFlowsOfARouteThatOnlyOtherInstancesKnow)
+{
+  UnknownRoute fixture;
+  for (milliseconds time{ 10 }; time < milliseconds(5000);
+       time += milliseconds(100)) {
+    const auto decision = fixture.Request(5, time);
+    ASSERT_EQ(decision.mAction, PacketAction::Forward) << time.count();
+    EXPECT_EQ(decision.mReason, Reason::Unrouted);
+    EXPECT_EQ(decision.mUpstream->mUpstream.mId, "i-1");
+    OnTick(fixture.mRouter, At(time));
+  }
+  fixture.Add(milliseconds(5000));
+  EXPECT_EQ(fixture.Request(5, milliseconds(5010)).mReason,
+            Reason::Established);
+  const auto& entry = fixture.mRouter.mFlows.begin()->second;
+  EXPECT_EQ(entry.mKind, RequestKind::Idempotent);
+  EXPECT_EQ(FindUpstream(fixture.mRouter.mUpstreams, TokenOf("i-1"))->mOwnLoad,
+            (UpstreamLoad{ 1, 1 }));
+}
+
+// Guards against flows that stay open on a route that no configuration has any
+// more, at an instance that never knew the route.
+TEST(FlowRouter, ResetsFlowsOfAnUnknownRouteOnceTheStoreConfirmsThatThereIsNone)
+{
+  UnknownRoute fixture;
+  fixture.Request(5, milliseconds(10));
+  OnDirectoryConfirmed(fixture.mRouter,
+                       At(milliseconds(10) + kConfirmationMargin));
+  EXPECT_EQ(fixture.Request(5, milliseconds(2100)).mReason, Reason::Unrouted);
+  OnDirectoryConfirmed(fixture.mRouter,
+                       At(milliseconds(11) + kConfirmationMargin));
+  EXPECT_EQ(fixture.Request(6, milliseconds(2200)).mReason, Reason::Unrouted);
+  for (const milliseconds time : { milliseconds(2300), milliseconds(2400) }) {
+    const auto decision = fixture.Request(5, time);
+    EXPECT_EQ(decision.mAction, PacketAction::Reset);
+    EXPECT_EQ(decision.mReason, Reason::NoRoute);
+  }
+}
+
+// Guards against flows that are still served after the configuration in force
+// has dropped their route: neither open nor new ones are, at once.
+TEST(FlowRouter, ResetsFlowsOfADroppedRouteAtOnce)
+{
+  UnknownRoute fixture;
+  fixture.Add(milliseconds(10));
+  fixture.Open(5, UnknownRoute::kNewPort, milliseconds(20));
+  EXPECT_EQ(fixture.Request(5, milliseconds(25)).mAction,
+            PacketAction::Forward);
+  EXPECT_EQ(fixture.Request(6, milliseconds(30)).mAction,
+            PacketAction::Forward);
+  fixture.Drop(milliseconds(40));
+  for (const std::uint16_t port : { 5, 6 }) {
+    for (const milliseconds time : { milliseconds(41), milliseconds(250) }) {
+      const auto decision = fixture.Request(port, time);
+      EXPECT_EQ(decision.mAction, PacketAction::Reset);
+      EXPECT_EQ(decision.mReason, Reason::NoRoute);
+      EXPECT_EQ(decision.mVerdict, state::Verdict::MayHaveRun);
+    }
+  }
+  const auto opened = fixture.Open(7, UnknownRoute::kNewPort, milliseconds(60));
+  EXPECT_EQ(opened.mReason, Reason::NoRoute);
+  EXPECT_EQ(FindUpstream(fixture.mRouter.mUpstreams, TokenOf("i-1"))->mOwnLoad,
+            UpstreamLoad{});
+}
+
 // Guards against a route with several services that sends all flows to one.
 TEST(FlowRouter, SplitsARouteByWeight)
 {
