Pull from another instance while a pull from a frozen one is outstanding

Cause: one pull at a time. If the source froze, the next pull had to wait for the timeout of 1 s, although other instances announced the new revision.

Change: after 250 ms a further pull may start, from another instance, at most three at a time. An instance without state still pulls from one at a time, since each pull would transfer a full copy.

PullsFromAnotherInstanceWhileThePullFromAFrozenOneIsOutstanding fails without the further pulls.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -57,6 +57,12 @@
   std::chrono::milliseconds mGossipPeriod{ 1000 };
   /// Maximum number of members listed in one message.
   std::size_t mMembersPerMessage = 24;
+  /// If a pull is outstanding for this time, a further one is started from
+  /// another instance that is ahead: the first one may have frozen. Instances
+  /// of low capacity may take a similar time to send a long configuration.
+  std::chrono::milliseconds mPullHedgeDelay{ 250 };
+  /// Maximum number of pulls at a time.
+  std::size_t mMaxPulls = 3;
   /// Maximum size of the changes that a message contains, in bytes of their
   /// keys and values. Receivers pull larger ones.
   std::size_t mMaxInlineChangeBytes = 1000;
@@ -83,6 +89,13 @@
   auto operator<=>(const PullRequest&) const = default;
 };
 
+/// @brief A pull that has not ended yet.
+struct OutstandingPull
+{
+  state::Endpoint mFrom;
+  state::TimePoint mStarted;
+};
+
 /// @brief A message with all its receivers.
 struct OutgoingMessage
 {
@@ -121,8 +134,8 @@
   Catalogue mCatalogue;
   Peers mPeers;
   StoreReader mReader;
-  /// A pull is outstanding.
-  bool mPulling = false;
+  /// Outstanding pulls in order of their start, each from another instance.
+  std::vector<OutstandingPull> mPulls;
   /// Time of the first call of OnTick.
   std::optional<state::TimePoint> mStartedAt;
   state::TimePoint mNextNeighbourMessage;
@@ -200,10 +213,13 @@
 OnStoreFailure(FleetCore& aCore, ReadFailure aFailure, state::TimePoint aNow);
 
 /// @brief Handles the end of a pull.
+/// @param aFrom instance that the changes were pulled from
 /// @param aChanges received changes, or nullopt if the pull failed
 /// @return actions to execute
 FleetActions
-OnPulled(FleetCore& aCore, const std::optional<ChangeSet>& aChanges);
+OnPulled(FleetCore& aCore,
+         const state::Endpoint& aFrom,
+         const std::optional<ChangeSet>& aChanges);
 
 /// @brief Returns the upstreams that this instance has to probe: if it is the
 /// representative of its data centre, the probe candidates of this instance and
--- a/src/sassafrasknot/edge/control_requests.cpp
+++ b/src/sassafrasknot/edge/control_requests.cpp
@@ -140,7 +140,7 @@
                       { "after", std::to_string(aPull.mAfter) },
                       { "reason", reason } });
       }
-      Execute(fleet::OnPulled(mCore, changes));
+      Execute(fleet::OnPulled(mCore, aPull.mFrom, changes));
       PublishDirectory();
     });
 }
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -157,6 +157,25 @@
   QueueMessage(aActions, BuildMessage(aCore, aNow), capable);
 }
 
+/// Returns whether a pull from an instance that is ahead may start although
+/// others may be outstanding. An instance without state does not start several,
+/// since each would transfer a full copy.
+bool
+MayPull(const FleetCore& aCore,
+        const state::Endpoint& aFrom,
+        state::TimePoint aNow)
+{
+  if (aCore.mPulls.empty()) {
+    return true;
+  }
+  const auto& policy = aCore.mSettings.mPolicy;
+  const bool isOutstanding = std::ranges::any_of(
+    aCore.mPulls, [&aFrom](const auto& aPull) { return aPull.mFrom == aFrom; });
+  return aCore.mCatalogue.mRevision != 0 && !isOutstanding &&
+         aCore.mPulls.size() < policy.mMaxPulls &&
+         aNow - aCore.mPulls.back().mStarted >= policy.mPullHedgeDelay;
+}
+
 /// Applies the changes of a message. If the sender's revision is still newer,
 /// starts a pull from it or contacts members that are better sources; if it is
 /// the same, records the sender's confirmation of it.
@@ -177,9 +196,9 @@
     }
   }
   const auto revision = aCore.mCatalogue.mRevision;
-  if (aMessage.mRevision > revision && !aCore.mPulling) {
+  if (aMessage.mRevision > revision && MayPull(aCore, sender.mEndpoint, aNow)) {
     if (IsSourceOfState(aCore, sender, aNow)) {
-      aCore.mPulling = true;
+      aCore.mPulls.push_back({ sender.mEndpoint, aNow });
       aActions.mPull = PullRequest{ sender.mEndpoint, revision };
     } else {
       ContactCapableMembers(aCore, aActions, aNow);
@@ -302,10 +321,13 @@
 }
 
 FleetActions
-OnPulled(FleetCore& aCore, const std::optional<ChangeSet>& aChanges)
+OnPulled(FleetCore& aCore,
+         const state::Endpoint& aFrom,
+         const std::optional<ChangeSet>& aChanges)
 {
   FleetActions actions;
-  aCore.mPulling = false;
+  std::erase_if(aCore.mPulls,
+                [&aFrom](const auto& aPull) { return aPull.mFrom == aFrom; });
   if (aChanges) {
     ApplyChanges(aCore, actions, *aChanges);
   }
--- a/src/sassafrasknot/fleet/fleet_core_test.cpp
+++ b/src/sassafrasknot/fleet/fleet_core_test.cpp
@@ -68,7 +68,7 @@
       if (source.mRunning) {
         changes = ChangesAfter(source.mCore.mCatalogue, aActions.mPull->mAfter);
       }
-      Execute(aNode, OnPulled(aNode.mCore, changes));
+      Execute(aNode, OnPulled(aNode.mCore, aActions.mPull->mFrom, changes));
     }
     if (aActions.mRead) {
       aNode.mPendingRead = aActions.mRead;
@@ -356,5 +356,66 @@
   EXPECT_TRUE(OnMessage(core, message, start + milliseconds(10)).mPull);
 }
 
+/// An instance at revision 5 whose peers announce revision 6.
+struct InstanceBehind
+{
+  InstanceBehind()
+  {
+    FleetSettings settings;
+    settings.mSelf = { { { 1 }, 7000 }, { "a" }, 100 };
+    mCore = MakeFleetCore(settings);
+    mCore.mCatalogue.mRevision = 5;
+    OnTick(mCore, At(milliseconds(0)));
+  }
+
+  std::optional<PullRequest> Announce(std::uint32_t aPeer, milliseconds aTime)
+  {
+    FleetMessage message;
+    message.mSender = { { { aPeer }, 7000 }, { "a" }, 80 };
+    message.mRevision = 6;
+    return OnMessage(mCore, message, At(aTime)).mPull;
+  }
+
+  FleetCore mCore;
+};
+
+// Guards against an instance that stays behind until the pull from an instance
+// that froze has timed out, although others announce the change (review case
+// 3).
+TEST(FleetCore, PullsFromAnotherInstanceWhileThePullFromAFrozenOneIsOutstanding)
+{
+  InstanceBehind fixture;
+  const auto delay = FleetPolicy{}.mPullHedgeDelay;
+  EXPECT_EQ(fixture.Announce(2, milliseconds(0)),
+            (PullRequest{ { { 2 }, 7000 }, 5 }));
+  EXPECT_FALSE(fixture.Announce(3, milliseconds(50)));
+  EXPECT_FALSE(fixture.Announce(2, delay));
+  EXPECT_EQ(fixture.Announce(3, delay), (PullRequest{ { { 3 }, 7000 }, 5 }));
+  EXPECT_FALSE(fixture.Announce(4, delay + milliseconds(50)));
+  EXPECT_EQ(fixture.Announce(4, 2 * delay),
+            (PullRequest{ { { 4 }, 7000 }, 5 }));
+  EXPECT_FALSE(fixture.Announce(5, 4 * delay));
+  // The delayed response of the first one changes nothing.
+  const ChangeSet changes{ 5, 6, { { "op", "value", 6, 1, false } } };
+  EXPECT_EQ(
+    OnPulled(fixture.mCore, { { 3 }, 7000 }, changes).mChangedKeys.size(), 1U);
+  EXPECT_TRUE(
+    OnPulled(fixture.mCore, { { 2 }, 7000 }, changes).mChangedKeys.empty());
+  EXPECT_EQ(fixture.mCore.mCatalogue.mRevision, 6U);
+  EXPECT_EQ(fixture.mCore.mPulls.size(), 1U);
+}
+
+// Guards against several transfers of the whole state to an instance that has
+// just started.
+TEST(FleetCore, PullsItsFirstStateFromOneInstanceAtATime)
+{
+  InstanceBehind fixture;
+  fixture.mCore.mCatalogue.mRevision = 0;
+  EXPECT_TRUE(fixture.Announce(2, milliseconds(0)));
+  EXPECT_FALSE(fixture.Announce(3, milliseconds(900)));
+  OnPulled(fixture.mCore, { { 2 }, 7000 }, std::nullopt);
+  EXPECT_TRUE(fixture.Announce(3, milliseconds(1000)));
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
