Reset no open flow because other upstreams of its data centre failed

Cause: three upstreams with retransmissions and no answer from the others made all upstreams of the data centre unresponsive, also those to which the instance had sent nothing. Ruled out: reports of other instances, which lead to "reported" only; told=yes stood for both and is now split into told and cut_off.

Change: such a data centre makes its upstreams reported. New flows avoid them, an open idempotent flow is reset at the first retransmission of its own caller.

The rule that pulls the other way: a dead data centre is found in under a second.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -42,8 +42,9 @@
 {
   Responsive,
   Suspected, ///< New flows go elsewhere, except for trials.
-  /// Other instances have found it unresponsive. In addition, an open
-  /// idempotent flow there is reset if its own caller retransmits.
+  /// Other instances have found it unresponsive, or its data centre appears to
+  /// be unreachable. In addition, an open idempotent flow there is reset if its
+  /// own caller retransmits.
   Reported,
   Unresponsive, ///< Any open idempotent flow there may be reset.
 };
@@ -68,7 +69,7 @@
   std::uint32_t mUnansweredOpens = 0;
   /// Another instance has reported it as unresponsive.
   bool mReported = false;
-  /// Its whole data centre was found unreachable.
+  /// Its whole data centre appears to be unreachable.
   bool mDataCentreUnreachable = false;
   /// Earliest time of the next trial.
   state::TimePoint mNextTrial;
@@ -128,14 +129,15 @@
 bool
 RecordReport(FailureDetector& aDetector, state::TimePoint aNow);
 
-/// @brief Records that this instance has found the upstream's whole data centre
-/// unreachable. Has no effect if the upstream has answered a packet of the last
-/// kRecentAnswerAge.
+/// @brief Records that the upstream's whole data centre appears to be
+/// unreachable. Only other upstreams may have failed, so that this alone resets
+/// no open flow. Has no effect if the upstream has answered a packet of the
+/// last kRecentAnswerAge.
 /// @param aDetector the upstream's failure detector
 /// @param aNow current time on the steady clock
 /// @return whether its liveness changed
 bool
-MarkUnresponsive(FailureDetector& aDetector, state::TimePoint aNow);
+RecordUnreachableDataCentre(FailureDetector& aDetector, state::TimePoint aNow);
 
 /// @brief Returns whether a new flow may go to the upstream: always if it is
 /// responsive, otherwise only when a trial is due.
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -26,12 +26,10 @@
   return "silent";
 }
 
-/// Returns whether evidence other than own unanswered packets counts against
-/// the upstream.
-bool
-IsMarked(const flows::FailureDetector& aDetector)
+std::string
+YesOrNo(bool aValue)
 {
-  return aDetector.mReported || aDetector.mDataCentreUnreachable;
+  return aValue ? "yes" : "no";
 }
 
 std::string_view
@@ -68,8 +66,8 @@
       { "address", ToString(record.mUpstream.mAddress) },
       { "data_centre", record.mUpstream.mDataCentre.mValue },
       { "presence", std::string(ToText(record.mPresence)) },
-      { "draining", record.mUpstream.mDraining ? "yes" : "no" },
-      { "cold", aNow < record.mWarmUpEnd ? "yes" : "no" },
+      { "draining", YesOrNo(record.mUpstream.mDraining) },
+      { "cold", YesOrNo(aNow < record.mWarmUpEnd) },
       { "own_feeds", std::to_string(record.mOwnLoad.mFeeds) },
       { "own_at_work", std::to_string(record.mOwnLoad.mActiveRequests) },
       { "peers_feeds", std::to_string(record.mPeerLoad.mFeeds) },
@@ -77,7 +75,8 @@
       { "liveness", std::string(ToText(detector.mLiveness)) },
       { "repeated", std::to_string(detector.mRetransmittingFlows) },
       { "unseen", std::to_string(detector.mUnansweredOpens) },
-      { "told", IsMarked(detector) ? "yes" : "no" },
+      { "told", YesOrNo(detector.mReported) },
+      { "cut_off", YesOrNo(detector.mDataCentreUnreachable) },
     };
     *text += "upstream " + record.mUpstream.mId;
     for (const auto& [key, value] : fields) {
@@ -141,7 +140,8 @@
         { "repeated",
           std::to_string(record->mFailureDetector.mRetransmittingFlows) },
         { "unseen", std::to_string(record->mFailureDetector.mUnansweredOpens) },
-        { "told", IsMarked(record->mFailureDetector) ? "yes" : "no" },
+        { "told", YesOrNo(record->mFailureDetector.mReported) },
+        { "cut_off", YesOrNo(record->mFailureDetector.mDataCentreUnreachable) },
         { "last_sign_ms", std::to_string(age.count()) } });
   }
 }
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -13,12 +13,11 @@
 {
   const bool isLinkVerified =
     aLinkVerifiedAt > aDetector.mUnansweredSince + kLinkVerificationMargin;
-  if ((aDetector.mRetransmittingFlows >= kUnresponsiveAfterFlows &&
-       isLinkVerified) ||
-      aDetector.mDataCentreUnreachable) {
+  if (aDetector.mRetransmittingFlows >= kUnresponsiveAfterFlows &&
+      isLinkVerified) {
     return Liveness::Unresponsive;
   }
-  if (aDetector.mReported) {
+  if (aDetector.mReported || aDetector.mDataCentreUnreachable) {
     return Liveness::Reported;
   }
   if (aDetector.mRetransmittingFlows > 0 ||
@@ -158,7 +157,7 @@
 }
 
 bool
-MarkUnresponsive(FailureDetector& aDetector, state::TimePoint aNow)
+RecordUnreachableDataCentre(FailureDetector& aDetector, state::TimePoint aNow)
 {
   if (HasAnsweredRecently(aDetector, aNow)) {
     return false;
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -134,9 +134,8 @@
 
 /// Decides on a packet of an established flow and records what it shows. The
 /// packet goes to the upstream that its token names. An idempotent flow that
-/// sends data to an unresponsive upstream, or retransmits to one that other
-/// instances report as unresponsive, is reset instead, and so is a flow whose
-/// route was dropped.
+/// sends data to an unresponsive upstream, or retransmits to a reported one, is
+/// reset instead, and so is a flow whose route was dropped.
 Decision
 OnEstablished(FlowRouter& aRouter,
               const CallerPacket& aPacket,
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -11,8 +11,8 @@
 
 /// Abandons the flows whose idempotent requests an unresponsive upstream has
 /// not answered, so that their callers try again at once instead of after their
-/// next retransmission. If other instances have only reported the upstream,
-/// these are the flows whose callers have already retransmitted.
+/// next retransmission. If the upstream is only reported, these are the flows
+/// whose callers have already retransmitted.
 void
 AbandonRequests(FlowRouter& aRouter,
                 const UpstreamRecord& aRecord,
@@ -39,8 +39,8 @@
   }
 }
 
-/// Marks all upstreams of another data centre as unresponsive if it is
-/// unreachable.
+/// Keeps new flows away from all upstreams of another data centre if it appears
+/// to be unreachable.
 void
 CheckDataCentre(FlowRouter& aRouter,
                 const state::DataCentreId& aDataCentre,
@@ -55,7 +55,9 @@
     if (record.mUpstream.mDataCentre == aDataCentre &&
         record.mPresence != Presence::Removed) {
       RecordLivenessChange(
-        aRouter, record, MarkUnresponsive(record.mFailureDetector, aNow));
+        aRouter,
+        record,
+        RecordUnreachableDataCentre(record.mFailureDetector, aNow));
     }
   }
 }
