Reset no open flow because an upstream ignores opening packets

An upstream at its limit of connections sends nothing to opening packets and serves the flows that it has.

Cause: two retransmitted opening packets made the upstream unresponsive, and all idempotent flows there were reset that had a request in progress or sent one, without a missing answer of their own.

Change: all open flows are reset only after two open flows have retransmitted; before that, those that have. Liveness, its reports and the choice of upstreams for new flows stay as they were.

The rule that pulls the other way: requests at a dead upstream do not wait. Each is still reset at its first retransmission (last part of the test).

IgnoredOpeningPacketsResetNoOpenFlow fails without the condition.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -46,7 +46,16 @@
   /// be unreachable. In addition, an open idempotent flow there is reset if its
   /// own caller retransmits.
   Reported,
-  Unresponsive, ///< Any open idempotent flow there may be reset.
+  /// If the evidence is from open flows, any open idempotent flow there may be
+  /// reset; see AbandonsOpenFlows.
+  Unresponsive,
+};
+
+/// @brief Which packet of a flow was retransmitted.
+enum class RetransmittedPacket : std::uint8_t
+{
+  Open, ///< The opening packet. An upstream that is full does not answer it.
+  Data, ///< A packet of an open flow.
 };
 
 /// @brief Passive failure detector of one upstream. Answers go to callers
@@ -65,6 +74,8 @@
   state::TimePoint mUnansweredSince;
   /// Number of flows whose caller has retransmitted a packet.
   std::uint32_t mRetransmittingFlows = 0;
+  /// Number of open flows among them.
+  std::uint32_t mRetransmittingOpenFlows = 0;
   /// Number of flows whose caller did not return after its opening packet.
   std::uint32_t mUnansweredOpens = 0;
   /// Another instance has reported it as unresponsive.
@@ -88,6 +99,7 @@
 /// packet was first forwarded at least kAnswerTimeout ago and no later one has
 /// been answered.
 /// @param aDetector the upstream's failure detector
+/// @param aPacket which packet of the flow
 /// @param aSent when the packet was first forwarded
 /// @param aLinkVerifiedAt when the newest packet that any upstream has answered
 /// was forwarded. Unless that is more than kLinkVerificationMargin after the
@@ -97,6 +109,7 @@
 /// @return whether its liveness changed
 bool
 RecordRetransmission(FailureDetector& aDetector,
+                     RetransmittedPacket aPacket,
                      state::TimePoint aSent,
                      state::TimePoint aLinkVerifiedAt,
                      state::TimePoint aNow);
@@ -139,6 +152,14 @@
 bool
 RecordUnreachableDataCentre(FailureDetector& aDetector, state::TimePoint aNow);
 
+/// @brief Returns whether all open idempotent flows may be reset that wait for
+/// the upstream: it is unresponsive, and enough of them have retransmitted. An
+/// upstream that only ignores opening packets may still serve its open flows.
+/// @param aDetector the upstream's failure detector
+/// @return whether they may be reset
+bool
+AbandonsOpenFlows(const FailureDetector& aDetector);
+
 /// @brief Returns whether a new flow may go to the upstream: always if it is
 /// responsive, otherwise only when a trial is due.
 /// @param aDetector the upstream's failure detector
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -78,6 +78,7 @@
   if (unansweredSince != state::TimePoint{} &&
       aSent - unansweredSince > kEvidenceWindow) {
     aDetector.mRetransmittingFlows = 0;
+    aDetector.mRetransmittingOpenFlows = 0;
     aDetector.mUnansweredOpens = 0;
     unansweredSince = aSent;
   }
@@ -97,6 +98,7 @@
     return false;
   }
   aDetector.mRetransmittingFlows = 0;
+  aDetector.mRetransmittingOpenFlows = 0;
   aDetector.mUnansweredOpens = 0;
   aDetector.mReported = false;
   aDetector.mDataCentreUnreachable = false;
@@ -108,6 +110,7 @@
 
 bool
 RecordRetransmission(FailureDetector& aDetector,
+                     RetransmittedPacket aPacket,
                      state::TimePoint aSent,
                      state::TimePoint aLinkVerifiedAt,
                      state::TimePoint aNow)
@@ -116,6 +119,9 @@
     return false;
   }
   ++aDetector.mRetransmittingFlows;
+  if (aPacket == RetransmittedPacket::Data) {
+    ++aDetector.mRetransmittingOpenFlows;
+  }
   return UpdateLiveness(aDetector, aLinkVerifiedAt, aNow);
 }
 
@@ -166,6 +172,13 @@
   return ApplyIndirectEvidence(aDetector, aNow);
 }
 
+bool
+AbandonsOpenFlows(const FailureDetector& aDetector)
+{
+  return aDetector.mLiveness == Liveness::Unresponsive &&
+         aDetector.mRetransmittingOpenFlows >= kUnresponsiveAfterFlows;
+}
+
 bool
 AdmitsFlow(const FailureDetector& aDetector, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -148,14 +148,51 @@
 TEST(FailureDetector, AnAnswerToAnEarlierPacketClearsNoEvidence)
 {
   FailureDetector detector;
-  RecordRetransmission(
-    detector, At(milliseconds(100)), {}, At(milliseconds(300)));
+  RecordRetransmission(detector,
+                       RetransmittedPacket::Data,
+                       At(milliseconds(100)),
+                       {},
+                       At(milliseconds(300)));
   EXPECT_FALSE(RecordAnswer(detector, At(milliseconds(90))));
   EXPECT_EQ(detector.mLiveness, Liveness::Suspected);
   EXPECT_TRUE(RecordAnswer(detector, At(milliseconds(101))));
   EXPECT_EQ(detector.mLiveness, Liveness::Responsive);
 }
 
+// Guards against resets of open flows at an upstream that is full: it ignores
+// opening packets and serves the flows that it has.
+TEST(FailureDetector, IgnoredOpeningPacketsResetNoOpenFlow)
+{
+  RouterFixture fixture;
+  fixture.AddUpstream("i-1", "a");
+  fixture.Publish(milliseconds(0));
+  const auto full = OpenFeed(fixture, 1, milliseconds(1));
+  for (const std::uint16_t port : { 2, 3 }) {
+    fixture.Open(port, kFeedPort, milliseconds(100 + port));
+  }
+  SendRequest(fixture, 1, full, milliseconds(110));
+  fixture.AddUpstream("i-2", "a");
+  fixture.Publish(milliseconds(200));
+  fixture.mRouter.mLinkVerifiedAt = At(milliseconds(250));
+  for (const std::uint16_t port : { 2, 3 }) {
+    const auto copy =
+      fixture.Open(port, kFeedPort, milliseconds(300 + port), 1);
+    EXPECT_EQ(copy.mUpstream->mUpstream.mId, "i-2");
+  }
+  ASSERT_EQ(LivenessOf(fixture, full), Liveness::Unresponsive);
+  EXPECT_TRUE(AbandonUnansweredRequests(fixture.mRouter).empty());
+  const auto next =
+    fixture.Send(1, kFeedPort, full, 171, 1, 170, milliseconds(305));
+  EXPECT_EQ(next.mAction, PacketAction::Forward);
+  EXPECT_EQ(
+    fixture.Open(4, kFeedPort, milliseconds(306)).mUpstream->mUpstream.mId,
+    "i-2");
+  // If it does not answer open flows either, they are reset.
+  const auto retransmitted =
+    fixture.Send(1, kFeedPort, full, 171, 1, 170, milliseconds(506));
+  EXPECT_EQ(retransmitted.mAction, PacketAction::Reset);
+}
+
 // Guards against reports of other instances that are older than the newest
 // answer that this instance has recorded itself.
 TEST(FailureDetector, ARecentAnswerOutweighsReportsOfOthers)
@@ -393,6 +430,7 @@
   };
   for (const milliseconds sent : { milliseconds(0), milliseconds(10000) }) {
     RecordRetransmission(detector,
+                         RetransmittedPacket::Data,
                          At(sent),
                          linkVerifiedAt(sent),
                          At(sent + kAnswerTimeout + milliseconds(50)));
@@ -400,6 +438,7 @@
   }
   const auto withinWindow = milliseconds(10000) + kEvidenceWindow;
   RecordRetransmission(detector,
+                       RetransmittedPacket::Data,
                        At(withinWindow),
                        linkVerifiedAt(withinWindow),
                        At(withinWindow + kAnswerTimeout + milliseconds(50)));
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -133,9 +133,10 @@
 }
 
 /// Decides on a packet of an established flow and records what it shows. The
-/// packet goes to the upstream that its token names. An idempotent flow that
-/// sends data to an unresponsive upstream, or retransmits to a reported one, is
-/// reset instead, and so is a flow whose route was dropped.
+/// packet goes to the upstream that its token names. Reset instead are flows
+/// whose route was dropped, and idempotent flows that retransmit to a reported
+/// or unresponsive upstream or send data to one that does not answer open
+/// flows.
 Decision
 OnEstablished(FlowRouter& aRouter,
               const CallerPacket& aPacket,
@@ -186,12 +187,13 @@
              !entry.mMissingAnswerRecorded &&
              IsMissingAnswer(aRouter, entry.mNewDataSent, aNow)) {
     entry.mMissingAnswerRecorded = true;
-    HandleRetransmission(aRouter, *record, entry.mNewDataSent, aNow);
+    HandleRetransmission(
+      aRouter, *record, RetransmittedPacket::Data, entry.mNewDataSent, aNow);
   }
-  const auto liveness = record->mFailureDetector.mLiveness;
+  const auto& detector = record->mFailureDetector;
   const bool isAbandoned =
-    liveness == Liveness::Unresponsive ||
-    (liveness == Liveness::Reported && findings.mRetransmitted &&
+    AbandonsOpenFlows(detector) ||
+    (detector.mLiveness >= Liveness::Reported && findings.mRetransmitted &&
      entry.mMissingAnswerRecorded);
   if (isAbandoned && aPacket.mPayloadBytes > 0 && IsIdempotent(entry.mKind)) {
     RemoveFlow(aRouter, aPacket.mFlow);
--- a/src/sassafrasknot/flows/flow_router_test.cpp
+++ b/src/sassafrasknot/flows/flow_router_test.cpp
@@ -333,6 +333,7 @@
   auto& record = *FindUpstream(fixture.mRouter.mUpstreams, TokenOf("i-1"));
   for (int flow = 0; flow < 2; ++flow) {
     RecordRetransmission(record.mFailureDetector,
+                         RetransmittedPacket::Data,
                          At(milliseconds(0)),
                          At(milliseconds(150)),
                          At(milliseconds(200)));
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -11,8 +11,8 @@
 
 /// Abandons the flows whose idempotent requests an unresponsive upstream has
 /// not answered, so that their callers try again at once instead of after their
-/// next retransmission. If the upstream is only reported, these are the flows
-/// whose callers have already retransmitted.
+/// next retransmission. Unless the evidence is from open flows, these are the
+/// flows whose callers have already retransmitted.
 void
 AbandonRequests(FlowRouter& aRouter,
                 const UpstreamRecord& aRecord,
@@ -24,7 +24,7 @@
       entry.mToken == aRecord.mToken && entry.mEstablished &&
       entry.mRequestActive && IsIdempotent(entry.mKind) &&
       entry.mNewDataSent > aRecord.mFailureDetector.mLastAnsweredSent &&
-      (aRecord.mFailureDetector.mLiveness == Liveness::Unresponsive ||
+      (AbandonsOpenFlows(aRecord.mFailureDetector) ||
        entry.mMissingAnswerRecorded);
     if (!isUnanswered) {
       ++it;
@@ -101,6 +101,7 @@
 void
 HandleRetransmission(FlowRouter& aRouter,
                      UpstreamRecord& aRecord,
+                     RetransmittedPacket aPacket,
                      state::TimePoint aSent,
                      state::TimePoint aNow)
 {
@@ -111,7 +112,7 @@
     aRouter,
     aRecord,
     RecordRetransmission(
-      aRecord.mFailureDetector, aSent, aRouter.mLinkVerifiedAt, aNow));
+      aRecord.mFailureDetector, aPacket, aSent, aRouter.mLinkVerifiedAt, aNow));
   CheckDataCentre(aRouter, aRecord.mUpstream.mDataCentre, aNow);
 }
 
--- a/src/sassafrasknot/flows/router_liveness.hpp
+++ b/src/sassafrasknot/flows/router_liveness.hpp
@@ -28,6 +28,7 @@
 void
 HandleRetransmission(FlowRouter& aRouter,
                      UpstreamRecord& aRecord,
+                     RetransmittedPacket aPacket,
                      state::TimePoint aSent,
                      state::TimePoint aNow);
 
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -168,7 +168,8 @@
              record };
   }
   if (record != nullptr) {
-    HandleRetransmission(aRouter, *record, entry.mOpenSent, aNow);
+    HandleRetransmission(
+      aRouter, *record, RetransmittedPacket::Open, entry.mOpenSent, aNow);
   }
   auto decision = PlaceFlow(aRouter, aPacket, *route, entry.mToken, aNow);
   decision.mPreviousUpstream = record;
