Apply settings that change without a signal

Cause: the settings were read at the start and on SIGHUP only. The logs show no reload, and store_lost with the earlier address at each instance.

Change: they are also read each second, and applied if the seeds, the store's address or the limit of a planned stop differ. The limit was not applied on SIGHUP either. The rule that pulls the other way, that wrong settings are refused with their place: they change nothing and are logged once for each different error.

--- a/include/sassafrasknot/edge/run_instance.hpp
+++ b/include/sassafrasknot/edge/run_instance.hpp
@@ -10,8 +10,9 @@
 namespace sassafrasknot::edge {
 
 /// @brief Runs an instance. SIGTERM begins a planned stop, after which this
-/// function returns. SIGHUP reloads the settings; only new seeds and a new
-/// endpoint of the store take effect.
+/// function returns. SIGHUP reloads the settings, which are also read each
+/// second without a signal; only new seeds, a new endpoint of the store and a
+/// new limit of the planned stop take effect.
 /// @param aSettings settings at the start
 /// @param aFormats formats of the platform
 /// @param aReload reads the settings again; called on the calling thread
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -29,6 +29,10 @@
 /// Interval at which the age of the known revision is observed and passed to
 /// the traffic thread.
 constexpr milliseconds kConfirmedAgeInterval{ 1000 };
+/// Interval at which the settings are read without a signal: well below the
+/// platform's shortest bound on applying configurations (3 s), which come from
+/// the endpoint in the settings.
+constexpr milliseconds kSettingsCheckInterval{ 1000 };
 /// Receive buffer for messages of other instances, in bytes.
 constexpr std::size_t kReceiveBufferBytes = std::size_t{ 256 } << 10U;
 /// Maximum size of a message of another instance, in bytes.
@@ -187,6 +191,7 @@
       mTraffic.ConfirmDirectory(mCore.mReader.mConfirmedAt);
     }
   }
+  CheckSettings(now);
   CheckStop(now);
   mLog->Flush();
 }
@@ -237,13 +242,54 @@
 void
 ControlLoop::ReloadSettings()
 {
-  const auto settings = mReload();
-  if (!settings) {
-    mLog->Write("reload_failed", { { "reason", settings.error().mMessage } });
+  if (const auto settings = mReload()) {
+    mSettingsError.clear();
+    ApplySettings(settings.value());
+    LogReload();
+  } else {
+    mSettingsError = settings.error().mMessage;
+    mLog->Write("reload_failed", { { "reason", mSettingsError } });
+  }
+}
+
+void
+ControlLoop::CheckSettings(state::TimePoint aNow)
+{
+  if (aNow < mNextSettingsCheck) {
     return;
   }
-  mCore.mSettings.mSeedEndpoints = settings.value().mSeeds;
-  mSettings.mStoreEndpoint = settings.value().mStoreEndpoint;
+  mNextSettingsCheck = aNow + kSettingsCheckInterval;
+  if (const auto settings = mReload()) {
+    mSettingsError.clear();
+    if (ApplySettings(settings.value())) {
+      LogReload();
+    }
+  } else if (mSettingsError != settings.error().mMessage) {
+    mSettingsError = settings.error().mMessage;
+    mLog->Write("reload_failed", { { "reason", mSettingsError } });
+  }
+}
+
+bool
+ControlLoop::ApplySettings(const EdgeSettings& aSettings)
+{
+  const auto assign = [](auto& aTarget, const auto& aValue) {
+    const bool hasChanged = aTarget != aValue;
+    aTarget = aValue;
+    return hasChanged;
+  };
+  const bool hasNewSeeds =
+    assign(mCore.mSettings.mSeedEndpoints, aSettings.mSeeds);
+  const bool hasNewStore =
+    assign(mSettings.mStoreEndpoint, aSettings.mStoreEndpoint);
+  const bool hasNewStopTime =
+    assign(mSettings.mMaxStopTime, aSettings.mMaxStopTime);
+  return hasNewSeeds || hasNewStore || hasNewStopTime;
+}
+
+void
+ControlLoop::LogReload()
+{
   mLog->Write(
     "reload",
     { { "seeds", std::to_string(mCore.mSettings.mSeedEndpoints.size()) },
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -56,7 +56,15 @@
   void BeginStop();
   /// Ends Run if a planned stop is complete or has reached its time limit.
   void CheckStop(state::TimePoint aNow);
+  /// Reads the settings again because of SIGHUP.
   void ReloadSettings();
+  /// Reads the settings again if that is due, since they may change without a
+  /// signal.
+  void CheckSettings(state::TimePoint aNow);
+  /// Applies the settings that can change while the instance runs; returns
+  /// whether any of them has changed.
+  bool ApplySettings(const EdgeSettings& aSettings);
+  void LogReload();
   /// Performs the sends, pulls and reads that the fleet core has decided on.
   void Execute(const fleet::FleetActions& aActions);
   void StartRead(const fleet::StoreRead& aRead);
@@ -113,6 +121,10 @@
   state::TimePoint mNextConfirmedAge;
   /// Last encoded full copy of the catalogue and its revision, which is first.
   std::pair<state::Revision, std::string> mEncodedCatalogue;
+  /// Next time at which the settings are read without a signal.
+  state::TimePoint mNextSettingsCheck;
+  /// Error of the last reading of the settings, empty if there was none.
+  std::string mSettingsError;
   /// Latest report of the traffic thread.
   TrafficReport mTrafficReport;
   boost::asio::io_context mContext{ 1 };
