Add no member for gossip with an impossible age

Gossip whose age exceeds the uptime left an entry without endpoint and data centre among the members; found by reading. GossipThatIsTooOldAddsNoMember fails on the code before: the entry was made before the age was checked.

--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -89,12 +89,15 @@
   if (aMember.mEndpoint == aPeers.mSelf.mEndpoint) {
     return;
   }
-  auto& peer = aPeers.mPeers[aMember.mEndpoint];
   const auto contactedAt = aNow - aAge;
-  if (contactedAt <= peer.mLastContact ||
-      IsOutdated(peer, aMember, contactedAt)) {
+  if (const auto found = aPeers.mPeers.find(aMember.mEndpoint);
+      contactedAt <= state::TimePoint{} ||
+      (found != aPeers.mPeers.end() &&
+       (contactedAt <= found->second.mLastContact ||
+        IsOutdated(found->second, aMember, contactedAt)))) {
     return;
   }
+  auto& peer = aPeers.mPeers[aMember.mEndpoint];
   peer.mMember = aMember;
   peer.mLastContact = contactedAt;
   peer.mIsDeathReported = peer.mIsDeathReported && !IsAlive(peer, aNow);
--- a/src/sassafrasknot/fleet/peers_test.cpp
+++ b/src/sassafrasknot/fleet/peers_test.cpp
@@ -86,5 +86,15 @@
             std::vector{ other });
 }
 
+// Guards against a member without endpoint or data centre that remains after
+// gossip with an age that no contact can have.
+TEST(Peers, GossipThatIsTooOldAddsNoMember)
+{
+  auto peers = MakePeers();
+  RecordGossip(
+    peers, { kOther, { "a" }, 5000 }, std::chrono::hours(1000), kStart);
+  EXPECT_TRUE(peers.mPeers.empty());
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
