Date a reported probe by when it was sent

Cause: reports of probes did not contain when the probe was sent, and were taken for as new as the message, up to 0.9 s too late.

Change: messages carry the age of each reported probe. A message of an earlier version has none and is read as before.

DatesAReportedProbeByWhenItWasSent and the restored field in DecodingRestoresAMessage guard it.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -167,10 +167,11 @@
     mPeerProbeCandidates;
   /// Last aggregated loads of other data centres.
   std::map<state::DataCentreId, ReceivedDataCentreLoads> mDataCentreLoads;
-  /// Upstreams that peers have reported as unresponsive or as reachable. The
-  /// owner of the core collects them and empties the sets.
+  /// Upstreams that peers have reported as unresponsive, and those that they
+  /// have reported as reachable, with the time when the probe was sent. The
+  /// owner of the core collects them and empties the containers.
   std::set<flows::UpstreamToken> mReportedUnresponsive;
-  std::set<flows::UpstreamToken> mReportedReachable;
+  std::map<flows::UpstreamToken, state::TimePoint> mReportedReachable;
 };
 
 /// @brief Makes a core without peers and without state.
--- a/include/sassafrasknot/fleet/fleet_message.hpp
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -46,6 +46,16 @@
   auto operator<=>(const DataCentreLoads&) const = default;
 };
 
+/// @brief An upstream that answered a probe.
+struct ReachableUpstream
+{
+  flows::UpstreamToken mToken = flows::kNoToken;
+  /// Time since the probe was sent.
+  state::Duration mProbeAge{ 0 };
+
+  auto operator<=>(const ReachableUpstream&) const = default;
+};
+
 /// @brief Content of a datagram between two instances.
 struct FleetMessage
 {
@@ -72,7 +82,7 @@
   std::vector<flows::UpstreamToken> mProbeCandidates;
   /// Upstreams that answered a probe which the sender sent within the last
   /// 500 ms (kReachableRetention in load_exchange.cpp).
-  std::vector<flows::UpstreamToken> mReachable;
+  std::vector<ReachableUpstream> mReachable;
   /// The newest changes, if they fit within FleetPolicy::mMaxInlineChangeBytes.
   std::optional<ChangeSet> mChanges;
 };
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -180,8 +180,7 @@
   }
   if (auto reachable = std::exchange(mCore.mReportedReachable, {});
       !reachable.empty()) {
-    // Reports of other instances do not contain when their probes were sent.
-    mTraffic.ApplyProbeSuccesses(std::move(reachable), now);
+    mTraffic.ApplyProbeSuccesses(std::move(reachable));
   }
   ProbeUpstreams(now);
   if (now >= mNextConfirmedAge && mCore.mReader.mEverConfirmed) {
--- a/src/sassafrasknot/edge/control_requests.cpp
+++ b/src/sassafrasknot/edge/control_requests.cpp
@@ -106,7 +106,7 @@
                     return;
                   }
                   mCore.mReachable[token] = sent;
-                  mTraffic.ApplyProbeSuccesses({ token }, sent);
+                  mTraffic.ApplyProbeSuccesses({ { token, sent } });
                 });
 }
 
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -146,12 +146,12 @@
 }
 
 void
-TrafficLoop::ApplyProbeSuccesses(std::set<flows::UpstreamToken> aTokens,
-                                 state::TimePoint aSent)
+TrafficLoop::ApplyProbeSuccesses(
+  std::map<flows::UpstreamToken, state::TimePoint> aProbes)
 {
-  boost::asio::post(mContext, [this, tokens = std::move(aTokens), aSent] {
-    for (const auto token : tokens) {
-      flows::OnProbeSuccess(mRouter, token, aSent);
+  boost::asio::post(mContext, [this, probes = std::move(aProbes)] {
+    for (const auto& [token, sent] : probes) {
+      flows::OnProbeSuccess(mRouter, token, sent);
     }
     HandleLivenessChanges();
   });
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -91,11 +91,10 @@
   void SetPeerLoads(PeerLoadUpdate aUpdate);
   /// Marks upstreams that other instances have found unresponsive.
   void ApplyUnresponsiveReports(std::set<flows::UpstreamToken> aTokens);
-  /// Records that upstreams responded to probes. aSent is when this instance
-  /// sent the probe, or when it received another instance's report of a
-  /// response, since reports don't contain when the probe was sent.
-  void ApplyProbeSuccesses(std::set<flows::UpstreamToken> aTokens,
-                           state::TimePoint aSent);
+  /// Records that upstreams responded to probes, which this or another instance
+  /// sent at the given times.
+  void ApplyProbeSuccesses(
+    std::map<flows::UpstreamToken, state::TimePoint> aProbes);
 
 private:
   void ScheduleTick();
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -286,8 +286,10 @@
     actions.mSend.push_back({ std::move(reply), { sender.mEndpoint } });
   }
   UpdateLoads(aCore, aMessage, aNow);
-  aCore.mReportedReachable.insert(aMessage.mReachable.begin(),
-                                  aMessage.mReachable.end());
+  for (const auto& [token, probeAge] : aMessage.mReachable) {
+    auto& probeSentAt = aCore.mReportedReachable[token];
+    probeSentAt = std::max(probeSentAt, aNow - probeAge);
+  }
   aCore.mReportedUnresponsive.insert(aMessage.mUnresponsive.begin(),
                                      aMessage.mUnresponsive.end());
   HandleRevision(aCore, actions, aMessage, aNow);
--- a/src/sassafrasknot/fleet/load_exchange.cpp
+++ b/src/sassafrasknot/fleet/load_exchange.cpp
@@ -53,7 +53,7 @@
     return aNow - aItem.second > kReachableRetention;
   });
   for (const auto& [token, sent] : aCore.mReachable) {
-    message.mReachable.push_back(token);
+    message.mReachable.push_back({ token, aNow - sent });
   }
   if (aRank == 0) {
     for (const auto& [dataCentre, received] : aCore.mDataCentreLoads) {
@@ -158,9 +158,13 @@
     aCore.mNextOthersMessage =
       aNow + OthersPeriod(policy, groups.mOthers.size(), rank);
     aCore.mLastOthersMessage = aNow;
+    std::vector<flows::UpstreamToken> reachable;
+    std::ranges::transform(message.mReachable,
+                           std::back_inserter(reachable),
+                           &ReachableUpstream::mToken);
     aCore.mLastSentToOthers = { message.mUnresponsive,
                                 message.mProbeCandidates,
-                                message.mReachable };
+                                std::move(reachable) };
     QueueMessage(aActions, message, groups.mOthers);
   }
 }
--- a/src/sassafrasknot/fleet/load_exchange_test.cpp
+++ b/src/sassafrasknot/fleet/load_exchange_test.cpp
@@ -138,7 +138,7 @@
        now += milliseconds(25)) {
     for (const auto& outgoing : OnTick(core, now).mSend) {
       if (outgoing.mMessage.mReachable ==
-            std::vector<flows::UpstreamToken>{ 77 } &&
+            std::vector<ReachableUpstream>{ { 77, now - probeSentAt } } &&
           outgoing.mMessage.mLoads && outgoing.mMessage.mLoads->empty()) {
         reported += outgoing.mReceivers.size();
       }
@@ -149,5 +149,20 @@
   EXPECT_EQ(reported, kInstances - 1 - 2 * flows::kInstancesPerUpstream);
 }
 
+// Guards against a crashed upstream that becomes responsive again because
+// another instance still reports a probe from before the crash.
+TEST(LoadExchange, DatesAReportedProbeByWhenItWasSent)
+{
+  auto core = MakeLargeCore(2, kStart, 3);
+  FleetMessage message;
+  message.mSender = { EndpointOf(2), { "a" }, 2 };
+  message.mReachable = { { 77, milliseconds(450) }, { 78, milliseconds(0) } };
+  OnMessage(core, message, kStart);
+  message.mReachable = { { 77, milliseconds(480) } };
+  OnMessage(core, message, kStart + milliseconds(20));
+  EXPECT_EQ(core.mReportedReachable.at(77), kStart - milliseconds(450));
+  EXPECT_EQ(core.mReportedReachable.at(78), kStart);
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -212,8 +212,9 @@
   for (const auto token : aMessage.mProbeCandidates) {
     wire.add_unanswering(token);
   }
-  for (const auto token : aMessage.mReachable) {
+  for (const auto& [token, probeAge] : aMessage.mReachable) {
     wire.add_proven(token);
+    wire.add_proven_age_ms(ToMilliseconds(probeAge));
   }
   if (aMessage.mChanges) {
     ToWire(*aMessage.mChanges, *wire.mutable_changes());
@@ -270,7 +271,17 @@
   message.mUnresponsive.assign(wire.silent().begin(), wire.silent().end());
   message.mProbeCandidates.assign(wire.unanswering().begin(),
                                   wire.unanswering().end());
-  message.mReachable.assign(wire.proven().begin(), wire.proven().end());
+  // Earlier versions send no ages.
+  const bool hasAges = wire.proven_age_ms_size() > 0;
+  if (hasAges && wire.proven_size() != wire.proven_age_ms_size()) {
+    return Malformed(
+      "fleet message: proven and proven_age_ms differ in length");
+  }
+  for (int index = 0; index < wire.proven_size(); ++index) {
+    message.mReachable.push_back(
+      { wire.proven(index),
+        milliseconds(hasAges ? wire.proven_age_ms(index) : 0) });
+  }
   if (wire.has_changes()) {
     message.mChanges = FromWire(wire.changes());
   }
--- a/src/sassafrasknot/messages/fleet_codec_test.cpp
+++ b/src/sassafrasknot/messages/fleet_codec_test.cpp
@@ -31,7 +31,7 @@
   };
   message.mUnresponsive = { 1, 2 };
   message.mProbeCandidates = { 3 };
-  message.mReachable = { 4 };
+  message.mReachable = { { 4, std::chrono::milliseconds(350) } };
   message.mChanges =
     fleet::ChangeSet{ 11, 12, { { "key", "value", 12, 3, false } } };
   return message;
