Distrust probes after which flows stay unanswered

Cause: a probe only shows that some process answers at the address. That one does not accept the flows, which carry another verification tag.

Change: if flows are unanswered again after a probe made the upstream responsive, only an answered flow does so. The rule that pulls the other way: an upstream that is back is used again.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -58,6 +58,18 @@
   Data, ///< A packet of an open flow.
 };
 
+/// @brief How far answers to probes count. After an upstream has crashed,
+/// another process may answer at its address, which does not accept its flows.
+enum class ProbeTrust : std::uint8_t
+{
+  Trusted,
+  /// A probe has made the upstream responsive, and no flow was answered since.
+  OnTrial,
+  /// Thereafter flows were unanswered: only an answered flow makes the upstream
+  /// responsive again.
+  Distrusted,
+};
+
 /// @brief Passive failure detector of one upstream. Answers go to callers
 /// directly, so that an instance sees only what callers' packets show: an
 /// acknowledgement of the upstream's bytes is an answer, a retransmission or a
@@ -82,19 +94,28 @@
   bool mReported = false;
   /// Its whole data centre appears to be unreachable.
   bool mDataCentreUnreachable = false;
+  ProbeTrust mProbeTrust = ProbeTrust::Trusted;
   /// Earliest time of the next trial.
   state::TimePoint mNextTrial;
 };
 
-/// @brief Records that the upstream has answered a packet. If the packet was
-/// forwarded after the first unanswered one, all evidence is cleared and the
-/// upstream is responsive.
+/// @brief Records that the upstream has answered a packet of a flow. If the
+/// packet was forwarded after the first unanswered one, all evidence is cleared
+/// and the upstream is responsive.
 /// @param aDetector the upstream's failure detector
-/// @param aSent when the answered packet was forwarded, or the probe was sent
+/// @param aSent when the answered packet was forwarded
 /// @return whether its liveness changed
 bool
 RecordAnswer(FailureDetector& aDetector, state::TimePoint aSent);
 
+/// @brief Records that a probe was answered at the upstream's address. It
+/// counts like an answered packet unless answers to probes are distrusted.
+/// @param aDetector the upstream's failure detector
+/// @param aSent when the probe was sent
+/// @return whether its liveness changed
+bool
+RecordProbeAnswer(FailureDetector& aDetector, state::TimePoint aSent);
+
 /// @brief Records that a caller has retransmitted a packet. It counts if the
 /// packet was first forwarded at least kAnswerTimeout ago and no later one has
 /// been answered.
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -52,6 +52,40 @@
   return aNow - aDetector.mLastAnsweredSent < kRecentAnswerAge;
 }
 
+/// Lowers the liveness because of own unanswered packets. After a probe has
+/// made the upstream responsive, they show that its answers mean nothing.
+bool
+ApplyDirectEvidence(FailureDetector& aDetector,
+                    state::TimePoint aLinkVerifiedAt,
+                    state::TimePoint aNow)
+{
+  const bool hasChanged = UpdateLiveness(aDetector, aLinkVerifiedAt, aNow);
+  if (hasChanged && aDetector.mProbeTrust == ProbeTrust::OnTrial) {
+    aDetector.mProbeTrust = ProbeTrust::Distrusted;
+  }
+  return hasChanged;
+}
+
+/// Clears all evidence if a packet or probe was answered that was sent after
+/// the first unanswered packet.
+bool
+ClearEvidence(FailureDetector& aDetector, state::TimePoint aSent)
+{
+  aDetector.mLastAnsweredSent = std::max(aDetector.mLastAnsweredSent, aSent);
+  if (aSent <= aDetector.mUnansweredSince) {
+    return false;
+  }
+  aDetector.mRetransmittingFlows = 0;
+  aDetector.mRetransmittingOpenFlows = 0;
+  aDetector.mUnansweredOpens = 0;
+  aDetector.mReported = false;
+  aDetector.mDataCentreUnreachable = false;
+  aDetector.mUnansweredSince = {};
+  const bool hasChanged = aDetector.mLiveness != Liveness::Responsive;
+  aDetector.mLiveness = Liveness::Responsive;
+  return hasChanged;
+}
+
 /// Lowers the liveness because of evidence other than own unanswered packets.
 bool
 ApplyIndirectEvidence(FailureDetector& aDetector, state::TimePoint aNow)
@@ -93,18 +127,23 @@
 bool
 RecordAnswer(FailureDetector& aDetector, state::TimePoint aSent)
 {
-  aDetector.mLastAnsweredSent = std::max(aDetector.mLastAnsweredSent, aSent);
-  if (aSent <= aDetector.mUnansweredSince) {
+  // An answer to a packet from before the last probe says nothing of it.
+  if (aSent > aDetector.mLastAnsweredSent) {
+    aDetector.mProbeTrust = ProbeTrust::Trusted;
+  }
+  return ClearEvidence(aDetector, aSent);
+}
+
+bool
+RecordProbeAnswer(FailureDetector& aDetector, state::TimePoint aSent)
+{
+  if (aDetector.mProbeTrust == ProbeTrust::Distrusted) {
     return false;
   }
-  aDetector.mRetransmittingFlows = 0;
-  aDetector.mRetransmittingOpenFlows = 0;
-  aDetector.mUnansweredOpens = 0;
-  aDetector.mReported = false;
-  aDetector.mDataCentreUnreachable = false;
-  aDetector.mUnansweredSince = {};
-  const bool hasChanged = aDetector.mLiveness != Liveness::Responsive;
-  aDetector.mLiveness = Liveness::Responsive;
+  const bool hasChanged = ClearEvidence(aDetector, aSent);
+  if (hasChanged) {
+    aDetector.mProbeTrust = ProbeTrust::OnTrial;
+  }
   return hasChanged;
 }
 
@@ -122,7 +161,7 @@
   if (aPacket == RetransmittedPacket::Data) {
     ++aDetector.mRetransmittingOpenFlows;
   }
-  return UpdateLiveness(aDetector, aLinkVerifiedAt, aNow);
+  return ApplyDirectEvidence(aDetector, aLinkVerifiedAt, aNow);
 }
 
 bool
@@ -134,7 +173,7 @@
     return false;
   }
   ++aDetector.mUnansweredOpens;
-  return UpdateLiveness(aDetector, {}, aNow);
+  return ApplyDirectEvidence(aDetector, {}, aNow);
 }
 
 bool
@@ -148,6 +187,7 @@
     return false;
   }
   aDetector.mUnansweredSince = {};
+  aDetector.mProbeTrust = ProbeTrust::Trusted;
   return std::exchange(aDetector.mLiveness, Liveness::Responsive) !=
          Liveness::Responsive;
 }
--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -289,6 +289,43 @@
   EXPECT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Responsive);
 }
 
+// Guards against upstreams that stay suspected after a partition because probes
+// are not trusted any more, although no flow was unanswered since the last one.
+TEST(FailureDetector, ProbesReviveAnUpstreamWhoseFlowsWereAnsweredInBetween)
+{
+  FailureDetector detector;
+  for (milliseconds time{ 0 }; time < milliseconds(9000);
+       time += milliseconds(3000)) {
+    RecordRetransmission(detector,
+                         RetransmittedPacket::Data,
+                         At(time),
+                         {},
+                         At(time + milliseconds(200)));
+    EXPECT_EQ(detector.mLiveness, Liveness::Suspected);
+    EXPECT_TRUE(RecordProbeAnswer(detector, At(time + milliseconds(700))));
+    EXPECT_EQ(detector.mLiveness, Liveness::Responsive);
+    RecordAnswer(detector, At(time + milliseconds(800)));
+  }
+}
+
+// Guards against distrust of probes because of packets that were forwarded
+// before the probe, and because of reports of other instances.
+TEST(FailureDetector, OnlyOwnFlowsAfterAProbeShowThatItMeantNothing)
+{
+  FailureDetector detector;
+  RecordReport(detector, At(milliseconds(100)));
+  EXPECT_TRUE(RecordProbeAnswer(detector, At(milliseconds(200))));
+  RecordRetransmission(detector,
+                       RetransmittedPacket::Data,
+                       At(milliseconds(150)),
+                       {},
+                       At(milliseconds(350)));
+  EXPECT_EQ(detector.mLiveness, Liveness::Responsive);
+  RecordReport(detector, At(milliseconds(600)));
+  EXPECT_EQ(detector.mLiveness, Liveness::Reported);
+  EXPECT_TRUE(RecordProbeAnswer(detector, At(milliseconds(700))));
+}
+
 /// A router with one local upstream and several in data centre "b", i-0 and up,
 /// whose requests may be left unanswered.
 struct RemoteFeeds : RouterFixture
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -180,7 +180,7 @@
 {
   if (auto* record = FindUpstream(aRouter.mUpstreams, aToken)) {
     RecordLivenessChange(
-      aRouter, *record, RecordAnswer(record->mFailureDetector, aSent));
+      aRouter, *record, RecordProbeAnswer(record->mFailureDetector, aSent));
   }
 }
 
