--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -110,8 +110,6 @@
   bool mDirectoryOutdated = false;
   bool mDirectoryPublished = false;
   bool mStoreReachable = true;
-  /// Not used.
-  bool mSilenceNews = false;
   /// Loads of other instances arrived that the traffic thread does not have.
   bool mPeerLoadsChanged = false;
   fleet::ProbeSchedule mProbeSchedule;
--- a/src/sassafrasknot/transport/traffic_worker.hpp
+++ b/src/sassafrasknot/transport/traffic_worker.hpp
@@ -102,7 +102,6 @@
   /// Executes actions; aPacket is the packet that caused them, or null.
   void Execute(coordination::TrafficActions& aActions,
                const WorkerPacket* aPacket);
-  void Dispatch(protocol::TrafficEnvelope aEnvelope);
   void Send(const state::Endpoint& aTo, std::span<const std::uint8_t> aBytes);
   void Count(std::string_view aCounter);
 
