Start no further pull from others while the source still sends messages

On slow links a pull of a long configuration takes longer than 250 ms; a further one would transfer it again and delay callers' packets.

Cause: a pull counted as stuck by its duration alone. A frozen instance sends no messages, a slow one does.

Change: a further pull starts only if the source has sent nothing since the pull began. WaitsForAPullFromAnInstanceThatStillSendsMessages fails on the code before.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -57,9 +57,9 @@
   std::chrono::milliseconds mGossipPeriod{ 1000 };
   /// Maximum number of members listed in one message.
   std::size_t mMembersPerMessage = 24;
-  /// If a pull is outstanding for this time, a further one is started from
-  /// another instance that is ahead: the first one may have frozen. Instances
-  /// of low capacity may take a similar time to send a long configuration.
+  /// If a pull is outstanding for this time, and its source has sent no message
+  /// since it began, a further one is started from another instance that is
+  /// ahead: the source may have frozen.
   std::chrono::milliseconds mPullHedgeDelay{ 250 };
   /// Maximum number of pulls at a time.
   std::size_t mMaxPulls = 3;
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -157,9 +157,21 @@
   QueueMessage(aActions, BuildMessage(aCore, aNow), capable);
 }
 
+/// Returns whether an instance has sent a message after a point in time.
+bool
+HasContactSince(const Peers& aPeers,
+                const state::Endpoint& aEndpoint,
+                state::TimePoint aTime)
+{
+  const auto found = aPeers.mPeers.find(aEndpoint);
+  return found != aPeers.mPeers.end() &&
+         found->second.mLastDirectContact > aTime;
+}
+
 /// Returns whether a pull from an instance that is ahead may start although
-/// others may be outstanding. An instance without state does not start several,
-/// since each would transfer a full copy.
+/// others may be outstanding. A source that still sends messages is only slow,
+/// and another transfer would delay callers' packets. An instance without state
+/// does not start several, since each would transfer a full copy.
 bool
 MayPull(const FleetCore& aCore,
         const state::Endpoint& aFrom,
@@ -171,9 +183,11 @@
   const auto& policy = aCore.mSettings.mPolicy;
   const bool isOutstanding = std::ranges::any_of(
     aCore.mPulls, [&aFrom](const auto& aPull) { return aPull.mFrom == aFrom; });
-  return aCore.mCatalogue.mRevision != 0 && !isOutstanding &&
-         aCore.mPulls.size() < policy.mMaxPulls &&
-         aNow - aCore.mPulls.back().mStarted >= policy.mPullHedgeDelay;
+  const auto& [source, started] = aCore.mPulls.back();
+  const bool isSourceSilent = aNow - started >= policy.mPullHedgeDelay &&
+                              !HasContactSince(aCore.mPeers, source, started);
+  return aCore.mCatalogue.mRevision != 0 && isSourceSilent && !isOutstanding &&
+         aCore.mPulls.size() < policy.mMaxPulls;
 }
 
 /// Applies the changes of a message. If the sender's revision is still newer,
