Read settings through one function on SIGHUP and each second

Cause: two functions read the settings, applied them and logged errors in nearly the same way. Change: one function with the condition of what is logged.

--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -190,7 +190,10 @@
       mTraffic.ConfirmDirectory(mCore.mReader.mConfirmedAt);
     }
   }
-  CheckSettings(now);
+  if (now >= mNextSettingsCheck) {
+    mNextSettingsCheck = now + kSettingsCheckInterval;
+    ReloadSettings(false);
+  }
   CheckStop(now);
   mLog->Flush();
 }
@@ -205,7 +208,7 @@
     if (aSignal == SIGTERM) {
       BeginStop();
     } else {
-      ReloadSettings();
+      ReloadSettings(true);
     }
     WaitForSignal();
   });
@@ -239,33 +242,22 @@
 }
 
 void
-ControlLoop::ReloadSettings()
-{
-  if (const auto settings = mReload()) {
-    mSettingsError.clear();
-    ApplySettings(settings.value());
-    LogReload();
-  } else {
-    mSettingsError = settings.error().mMessage;
-    mLog->Write("reload_failed", { { "reason", mSettingsError } });
-  }
-}
-
-void
-ControlLoop::CheckSettings(state::TimePoint aNow)
+ControlLoop::ReloadSettings(bool aIsRequested)
 {
-  if (aNow < mNextSettingsCheck) {
+  const auto settings = mReload();
+  const auto error = settings ? std::string() : settings.error().mMessage;
+  const bool hasNewError = std::exchange(mSettingsError, error) != error;
+  if (!settings) {
+    if (aIsRequested || hasNewError) {
+      mLog->Write("reload_failed", { { "reason", error } });
+    }
     return;
   }
-  mNextSettingsCheck = aNow + kSettingsCheckInterval;
-  if (const auto settings = mReload()) {
-    mSettingsError.clear();
-    if (ApplySettings(settings.value())) {
-      LogReload();
-    }
-  } else if (mSettingsError != settings.error().mMessage) {
-    mSettingsError = settings.error().mMessage;
-    mLog->Write("reload_failed", { { "reason", mSettingsError } });
+  if (ApplySettings(settings.value()) || aIsRequested) {
+    mLog->Write(
+      "reload",
+      { { "seeds", std::to_string(mCore.mSettings.mSeedEndpoints.size()) },
+        { "store", ToString(mSettings.mStoreEndpoint) } });
   }
 }
 
@@ -286,15 +278,6 @@
   return hasNewSeeds || hasNewStore || hasNewStopTime;
 }
 
-void
-ControlLoop::LogReload()
-{
-  mLog->Write(
-    "reload",
-    { { "seeds", std::to_string(mCore.mSettings.mSeedEndpoints.size()) },
-      { "store", ToString(mSettings.mStoreEndpoint) } });
-}
-
 void
 ControlLoop::Execute(const fleet::FleetActions& aActions)
 {
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -56,15 +56,12 @@
   void BeginStop();
   /// Ends Run if a planned stop is complete or has reached its time limit.
   void CheckStop(state::TimePoint aNow);
-  /// Reads the settings again because of SIGHUP.
-  void ReloadSettings();
-  /// Reads the settings again if that is due, since they may change without a
-  /// signal.
-  void CheckSettings(state::TimePoint aNow);
+  /// Reads the settings again and applies them. Unless SIGHUP requested it,
+  /// only changes and new errors are logged.
+  void ReloadSettings(bool aIsRequested);
   /// Applies the settings that can change while the instance runs; returns
   /// whether any of them has changed.
   bool ApplySettings(const EdgeSettings& aSettings);
-  void LogReload();
   /// Performs the sends, pulls and reads that the fleet core has decided on.
   void Execute(const fleet::FleetActions& aActions);
   void StartRead(const fleet::StoreRead& aRead);
