Let soak callers use routes as soon as they are acknowledged

The soak test could not find the fault of review case 3: no flow used a route that had just been added, and its configuration was short enough for a message, so that instances never pulled one.

Change: feeds on added routes, 60 further routes, and a fault that pauses the instance from which others pull a change, after its first answer.

A flow whose route a configuration drops may be reset (RULES, FLOW). The check now excuses flows whose route is absent, or was added again after they opened; it excuses none on other routes.

--- a/testing/soak/plan.cpp
+++ b/testing/soak/plan.cpp
@@ -29,7 +29,8 @@
   "silence-connections",
   "reset-connections",
   "crash-upstream",
-  "restart-upstream"
+  "restart-upstream",
+  "freeze-reader"
 };
 
 /// Mean time between the starts of two faults. It is shorter than the longest
@@ -39,6 +40,32 @@
 /// which an instance counts as dead.
 constexpr milliseconds kMinDuration{ 300 };
 constexpr milliseconds kMaxDuration{ 5000 };
+/// Time between two faults FreezeReader, and their duration.
+constexpr milliseconds kFreezeReaderInterval{ 9000 };
+constexpr milliseconds kFreezeReaderDuration{ 3500 };
+
+/// Adds the faults FreezeReader, at random times within each interval.
+void
+AddReaderFreezes(std::vector<Fault>& aPlan,
+                 std::uint64_t aSeed,
+                 milliseconds aLength)
+{
+  std::mt19937_64 random(aSeed);
+  std::uniform_int_distribution<std::int64_t> offset(
+    0, kFreezeReaderInterval.count() / 2);
+  std::uniform_int_distribution<std::size_t> target(0, 1000);
+  for (milliseconds start{ 0 }; start < aLength;
+       start += kFreezeReaderInterval) {
+    const auto time = start + milliseconds(offset(random));
+    if (time < aLength) {
+      aPlan.push_back({ FaultKind::FreezeReader,
+                        time,
+                        kFreezeReaderDuration,
+                        target(random) });
+    }
+  }
+  std::ranges::stable_sort(aPlan, {}, &Fault::mStart);
+}
 
 } // namespace
 
@@ -66,10 +93,13 @@
   // except those at an upstream that has drained and stopped.
   const bool isPlannedOnly = aSeed % 3 == 0;
   const auto kindCount = static_cast<std::int64_t>(
-    isPlannedOnly ? kFirstUnplannedKind : kFaultKindCount);
+    isPlannedOnly ? kFirstUnplannedKind : kFirstSeparateKind);
   for (milliseconds start{ 0 };;) {
     start += milliseconds(pick(0, 2 * kMeanInterval.count()));
     if (start >= aLength) {
+      if (!isPlannedOnly) {
+        AddReaderFreezes(plan, aSeed, aLength);
+      }
       return plan;
     }
     plan.push_back(
--- a/testing/soak/plan.hpp
+++ b/testing/soak/plan.hpp
@@ -36,12 +36,16 @@
   ResetConnections,     ///< Open connections are reset.
   CrashUpstream,        ///< An upstream stops; later its entry is removed.
   RestartUpstream,      ///< An upstream loses its flows and keeps its id.
+  FreezeReader, ///< Publishes a new route, and pauses the instance that reads
+                ///< it first while it hands it over.
 };
 
 /// @brief Number of kinds; the first kFirstUnplannedKind of them are planned
-/// work.
-constexpr std::size_t kFaultKindCount = 20;
+/// work. Those from kFirstSeparateKind on are planned apart from the others, so
+/// that a seed goes on giving the same other faults.
+constexpr std::size_t kFaultKindCount = 21;
 constexpr std::size_t kFirstUnplannedKind = 5;
+constexpr std::size_t kFirstSeparateKind = 20;
 
 /// @brief Returns the name of a kind in reports: lower-case words joined by
 /// hyphens.
--- a/testing/soak/relay.cpp
+++ b/testing/soak/relay.cpp
@@ -210,10 +210,13 @@
       auto connection =
         std::make_shared<RelayedConnection>(self->mContext, std::move(aSocket));
       connection->mBlackhole = self->mConditions.mBlackhole;
+      const auto delay = self->mConditions.mDelay;
+      if (const auto onAccepted = self->mOnAccepted) {
+        onAccepted();
+      }
       std::erase_if(self->mOpenConnections,
                     [](auto& aOpen) { return aOpen.expired(); });
       self->mOpenConnections.push_back(connection);
-      const auto delay = self->mConditions.mDelay;
       connection->mServer.async_connect(
         ToTcp(self->mTarget), [connection, delay](auto aConnectFailure) {
           if (aConnectFailure) {
--- a/testing/soak/relay.hpp
+++ b/testing/soak/relay.hpp
@@ -92,6 +92,8 @@
 
   /// Faults for connections that are accepted from now on.
   ConnectionConditions mConditions;
+  /// Called once a connection has been accepted under these conditions, if set.
+  std::function<void()> mOnAccepted;
 
 private:
   void Accept();
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -249,6 +249,13 @@
   for (int i = feeds(mRandom); i > 0; --i) {
     startRequest(FlowKind::Feed, kDesk);
   }
+  // Callers use a route from the moment at which the store acknowledges it.
+  for (int i = feeds(mRandom); i > 0 && !mTestRoutes.empty(); --i) {
+    const auto& route = mTestRoutes[mRandom() % mTestRoutes.size()];
+    if (route.mIsPresent) {
+      startRequest(FlowKind::Feed, route.mEndpoint);
+    }
+  }
 }
 
 void
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -132,6 +132,7 @@
   {
     std::uint64_t mLabel = 0; ///< Of the upstream at which it is open.
     bool mIsOpen = false;
+    Clock::time_point mOpeningTime;
   };
 
   /// Selects a network that no other run uses and reserves it.
@@ -193,7 +194,16 @@
   /// Separates the first data centre from the others for a time.
   void PartitionDataCentre(std::chrono::milliseconds aDuration);
   /// Adds or removes a test route unless it is already so.
-  void ChangeRoutes(bool aAdd, std::size_t aTarget);
+  /// @return the route's endpoint, or nothing if nothing changed
+  std::optional<Endpoint> ChangeRoutes(bool aAdd, std::size_t aTarget);
+  /// Adds a test route, on which callers open feeds at once, and pauses the
+  /// instance that hands the change over to the others.
+  void FreezeReader(const Fault& aFault);
+  /// Pauses the instance from which another one pulls next, once it has
+  /// answered that one; the requests of others get no answer.
+  void PauseFirstSource(std::chrono::milliseconds aDuration);
+  /// Sends SIGSTOP to an instance's process, and SIGCONT after a time.
+  void Pause(Instance& aInstance, std::chrono::milliseconds aDuration);
   /// Adds an upstream of the same service and starts to drain the old one.
   void ReplaceUpstream(Upstream& aOld);
   /// Schedules the deliberate faults of --sabotage that happen at a given time.
@@ -217,6 +227,11 @@
   /// Returns whether neither the instance nor the flow's upstream was disturbed
   /// recently, so that no fault excuses a broken flow.
   bool IsFlowStable(const Instance& aInstance, std::uint64_t aLabel) const;
+  /// Returns whether a configuration has removed a flow's route: it is absent
+  /// now, or was added again after the flow opened. A flow may also open after
+  /// its route's removal, at an instance that has not received it yet.
+  bool IsRouteRemoved(const FlowEndpoints& aEndpoints,
+                      Clock::time_point aOpeningTime) const;
 
   /// Returns the data centre of the instance, upstream or caller with a number.
   std::string DataCentreOf(std::size_t aNumber) const;
--- a/testing/soak/world_checks.cpp
+++ b/testing/soak/world_checks.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "world.hpp"
 
 namespace soak {
@@ -29,6 +31,16 @@
          IsStable(mDisturbances, FormatLabel(aLabel), now);
 }
 
+bool
+World::IsRouteRemoved(const FlowEndpoints& aEndpoints,
+                      Clock::time_point aOpeningTime) const
+{
+  const auto found =
+    std::ranges::find(mTestRoutes, aEndpoints.second, &TestRoute::mEndpoint);
+  return found != mTestRoutes.end() &&
+         (!found->mIsPresent || aOpeningTime < found->mChangeTime);
+}
+
 void
 World::CheckOpening(const std::string& aService,
                     std::uint64_t aLabel,
@@ -82,7 +94,7 @@
     CheckOpening(aService, aLabel, aEndpoints, InstanceAt(aFrom));
   };
   events.mOnFlowOpened = [=, this](const auto& aEndpoints) {
-    mFlows[aEndpoints] = { aLabel, true };
+    mFlows[aEndpoints] = { aLabel, true, Clock::now() };
   };
   events.mOnUnknownFlow = [=, this](const auto& aEndpoints, const auto& aFrom) {
     const auto found = mFlows.find(aEndpoints);
@@ -108,6 +120,7 @@
     const auto& instance = InstanceAt(aFrom);
     const auto found = mFlows.find(aEndpoints);
     if (found != mFlows.end() && found->second.mIsOpen &&
+        !IsRouteRemoved(aEndpoints, found->second.mOpeningTime) &&
         IsFlowStable(instance, found->second.mLabel)) {
       RecordViolation(
         "FLOW", aEndpoints, "open, and reset by " + instance.mName);
--- a/testing/soak/world_faults.cpp
+++ b/testing/soak/world_faults.cpp
@@ -44,6 +44,9 @@
     case FaultKind::RemoveRoute:
       ChangeRoutes(aFault.mKind == FaultKind::AddRoute, aFault.mTarget);
       break;
+    case FaultKind::FreezeReader:
+      FreezeReader(aFault);
+      break;
     case FaultKind::StoreDown:
     case FaultKind::StoreUnresponsive:
     case FaultKind::StoreSlow:
@@ -94,18 +97,65 @@
   } else if (aFault.mKind == FaultKind::Kill) {
     Kill(aInstance);
   } else {
-    aInstance.mIsPaused = true;
-    DisturbComponent(aInstance.mName, aFault.mDuration);
-    aInstance.mProcess->Signal(SIGSTOP);
-    RunAfter(mContext, aFault.mDuration, [this, &aInstance] {
-      if (aInstance.mProcess && std::exchange(aInstance.mIsPaused, false)) {
-        aInstance.mProcess->Signal(SIGCONT);
-      }
+    Pause(aInstance, aFault.mDuration);
+  }
+}
+
+void
+World::Pause(Instance& aInstance, milliseconds aDuration)
+{
+  aInstance.mIsPaused = true;
+  DisturbComponent(aInstance.mName, aDuration);
+  aInstance.mProcess->Signal(SIGSTOP);
+  RunAfter(mContext, aDuration, [this, &aInstance] {
+    if (aInstance.mProcess && std::exchange(aInstance.mIsPaused, false)) {
+      aInstance.mProcess->Signal(SIGCONT);
+    }
+  });
+}
+
+void
+World::FreezeReader(const Fault& aFault)
+{
+  const auto endpoint = ChangeRoutes(true, aFault.mTarget);
+  if (!endpoint) {
+    return;
+  }
+  PauseFirstSource(aFault.mDuration);
+  constexpr int kFeeds = 20;
+  constexpr milliseconds kFeedInterval{ 20 };
+  for (int i = 0; i < kFeeds; ++i) {
+    RunAfter(mContext, i * kFeedInterval, [this, endpoint] {
+      mCallers[mRandom() % mCallers.size()]->StartRequest(FlowKind::Feed,
+                                                          *endpoint);
     });
   }
 }
 
 void
+World::PauseFirstSource(milliseconds aDuration)
+{
+  constexpr milliseconds kAnswerTime{ 10 };
+  for (const auto& instance : mInstances) {
+    instance->mPullRelay->mOnAccepted = [this, aDuration, &instance] {
+      for (const auto& each : mInstances) {
+        each->mPullRelay->mOnAccepted = nullptr;
+      }
+      // Further requests are on their way to it while it answers the first one.
+      instance->mPullRelay->mConditions.mBlackhole = true;
+      RunAfter(mContext, kAnswerTime, [this, aDuration, &instance] {
+        instance->mPullRelay->mConditions.mBlackhole =
+          instance->mInboundBlocks > 0;
+        if (instance->mProcess && !instance->mIsStopping &&
+            !instance->mIsPaused) {
+          Pause(*instance, aDuration);
+        }
+      });
+    };
+  }
+}
+
+std::optional<Endpoint>
 World::ChangeRoutes(bool aAdd, std::size_t aTarget)
 {
   const auto number = aTarget % kTestRoutes;
@@ -117,11 +167,12 @@
     found = mTestRoutes.insert(found, { endpoint, {}, !aAdd });
   }
   if (found->mIsPresent == aAdd) {
-    return;
+    return std::nullopt;
   }
   found->mIsPresent = aAdd;
   PublishConfiguration();
   found->mChangeTime = Clock::now();
+  return endpoint;
 }
 
 void
--- a/testing/soak/world_setup.cpp
+++ b/testing/soak/world_setup.cpp
@@ -194,6 +194,14 @@
   add(MakeRoute(kDesk, RequestKind::Idempotent, "desk"));
   add(MakeRoute(kDeskOnce, RequestKind::NonIdempotent, "desk"));
   add(MakeRoute(kIntake, RequestKind::Upload, "intake"));
+  // Routes without traffic make the configuration too long for a message, so
+  // that instances pull it from each other.
+  constexpr std::uint32_t kIdleAddress = 0xC6120100;
+  constexpr std::uint32_t kIdleRoutes = 60;
+  for (std::uint32_t i = 0; i < kIdleRoutes; ++i) {
+    add(MakeRoute(
+      { { kIdleAddress + i }, 8443 }, RequestKind::Idempotent, "intake"));
+  }
   for (const auto& route : mTestRoutes) {
     if (route.mIsPresent) {
       add(MakeRoute(route.mEndpoint, RequestKind::Idempotent, "desk"));
