Declare a time of the soak test where a lambda need not capture it

The linter refused a local constant that a lambda uses without a capture; the compiler accepts it. No change of behaviour.

--- a/testing/soak/world_faults.cpp
+++ b/testing/soak/world_faults.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds kEntryLapseTime{ 3600 };
 /// A draining upstream serves for this time and for the fault's duration.
 constexpr milliseconds kDrainTime{ 3000 };
+/// Time in which an instance answers the first pull before FreezeReader pauses
+/// it.
+constexpr milliseconds kAnswerTime{ 10 };
 /// Number, first port and address of the routes that changes add and remove.
 constexpr std::size_t kTestRoutes = 4;
 constexpr std::uint16_t kFirstTestPort = 20000;
@@ -135,7 +138,6 @@
 void
 World::PauseFirstSource(milliseconds aDuration)
 {
-  constexpr milliseconds kAnswerTime{ 10 };
   for (const auto& instance : mInstances) {
     instance->mPullRelay->mOnAccepted = [this, aDuration, &instance] {
       for (const auto& each : mInstances) {
