Let a soak feed that breaks between requests send one at a time

Cause, by reading and by a test: a feed that was reset between two requests began its next one on a new flow, and the timer of the pause before that request then began another one on the same flow. The fake caller waited for the second while the upstream answered the first.

Change: the timer does nothing if the feed has moved to another flow. No check was changed.

--- a/testing/soak/caller.cpp
+++ b/testing/soak/caller.cpp
@@ -338,16 +338,21 @@
   if (isLast) {
     return;
   }
-  RunAfter(mContext, kFeedInterval, [self = shared_from_this(), aFlow] {
-    aFlow->mStartTime = Clock::now();
-    if (aFlow->mIsClosing) {
-      self->OpenFlow(aFlow);
-    } else if (!aFlow->mHasEnded) {
-      aFlow->mRequest = std::to_string(self->mNumber) + "-" +
-                        std::to_string(self->mNextRequest++);
-      self->BeginRequest(aFlow);
-    }
-  });
+  const auto endpoints = aFlow->mEndpoints;
+  RunAfter(
+    mContext, kFeedInterval, [self = shared_from_this(), aFlow, endpoints] {
+      if (aFlow->mEndpoints != endpoints) {
+        return; // The feed broke, and its next request began on a new flow.
+      }
+      aFlow->mStartTime = Clock::now();
+      if (aFlow->mIsClosing) {
+        self->OpenFlow(aFlow);
+      } else if (!aFlow->mHasEnded) {
+        aFlow->mRequest = std::to_string(self->mNumber) + "-" +
+                          std::to_string(self->mNextRequest++);
+        self->BeginRequest(aFlow);
+      }
+    });
 }
 
 void
