Reset a flow only for missing answers of its own

Cause: at a reported upstream, the first retransmission of a flow reset it. While a data centre appears to be unreachable, its working upstreams are reported, so that one packet that was lost or late sufficed. Also, retransmissions of two flows reset all other idempotent flows at their upstream at once, even those whose request was a few milliseconds old.

Evidence: by reading.

Change: an open idempotent flow is reset after one missing answer of its own if retransmissions of two open flows made the upstream unresponsive, otherwise after two, 0.6 s after the request. A single lost packet no longer resets anything, and an upstream that works answers in between.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -23,6 +23,11 @@
 /// Number of unanswered opens that make an upstream suspected. They never make
 /// it unresponsive, since the flows may have moved to another instance.
 constexpr std::uint32_t kSuspectedAfterUnansweredOpens = 2;
+/// Missing answers of one flow after which it is reset at an upstream that only
+/// other instances, other upstreams of its data centre or ignored opening
+/// packets show to be unresponsive. A single one may be a lost packet; the
+/// second follows 0.6 s after the request.
+constexpr std::uint32_t kAbandonedAfterMissing = 2;
 /// Unanswered packets are counted together if they were forwarded within this
 /// time, which is several times the interval of retransmissions. Without this
 /// limit, packets lost long apart would add up at an instance that has few
@@ -43,11 +48,9 @@
   Responsive,
   Suspected, ///< New flows go elsewhere, except for trials.
   /// Other instances have found it unresponsive, or its data centre appears to
-  /// be unreachable. In addition, an open idempotent flow there is reset if its
-  /// own caller retransmits.
+  /// be unreachable. New flows go elsewhere. Open ones: see IsAbandoned.
   Reported,
-  /// If the evidence is from open flows, any open idempotent flow there may be
-  /// reset; see AbandonsOpenFlows.
+  /// Several of this instance's own flows have missed answers.
   Unresponsive,
 };
 
@@ -173,13 +176,16 @@
 bool
 RecordUnreachableDataCentre(FailureDetector& aDetector, state::TimePoint aNow);
 
-/// @brief Returns whether all open idempotent flows may be reset that wait for
-/// the upstream: it is unresponsive, and enough of them have retransmitted. An
-/// upstream that only ignores opening packets may still serve its open flows.
+/// @brief Returns whether an open idempotent flow may be reset because the
+/// upstream does not answer it. A flow without a missing answer of its own
+/// never is. One missing answer suffices if open flows have made the upstream
+/// unresponsive; otherwise kAbandonedAfterMissing are needed, since an upstream
+/// that ignores opening packets, or that others report, may still serve it.
 /// @param aDetector the upstream's failure detector
-/// @return whether they may be reset
+/// @param aMissingAnswers the flow's missing answers to its newest data
+/// @return whether it may be reset
 bool
-AbandonsOpenFlows(const FailureDetector& aDetector);
+IsAbandoned(const FailureDetector& aDetector, std::uint32_t aMissingAnswers);
 
 /// @brief Returns whether a new flow may go to the upstream: always if it is
 /// responsive, otherwise only when a trial is due.
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -33,14 +33,16 @@
   bool mOpenedHere = false;
   /// Requests that this instance has seen.
   std::uint32_t mRequests = 0;
-  /// The missing answer to the newest data has already been recorded at the
-  /// upstream's failure detector.
-  bool mMissingAnswerRecorded = false;
+  /// How often the newest data, or the opening packet, was forwarded without an
+  /// answer in time: 1 after the caller's first retransmission.
+  std::uint32_t mMissingAnswers = 0;
   /// When the opening packet was forwarded, or when this instance first saw a
   /// flow that another one placed.
   state::TimePoint mOpenSent;
   /// When the newest byte was first forwarded.
   state::TimePoint mNewDataSent;
+  /// When data was last forwarded, new or retransmitted.
+  state::TimePoint mLastDataSent;
   /// When the newest packet arrived.
   state::TimePoint mLastPacket;
   /// When this instance first saw the flow, if its configuration has had no
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -147,9 +147,9 @@
   /// verifies that this instance's own link worked then.
   state::TimePoint mLinkVerifiedAt;
   /// Packets that were forwarded before this time, the end of the last stall,
-  /// are no evidence of a failure. What arrived during a stall is processed at
-  /// once after it, so that a retransmission may be read although the upstream
-  /// has answered in time.
+  /// are no evidence of a failure. What arrived
+  /// during a stall is processed at once after it, so that a retransmission may
+  /// be read although the upstream has answered in time.
   state::TimePoint mIgnoreEvidenceBefore;
 };
 
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -213,10 +213,13 @@
 }
 
 bool
-AbandonsOpenFlows(const FailureDetector& aDetector)
+IsAbandoned(const FailureDetector& aDetector, std::uint32_t aMissingAnswers)
 {
-  return aDetector.mLiveness == Liveness::Unresponsive &&
-         aDetector.mRetransmittingOpenFlows >= kUnresponsiveAfterFlows;
+  const bool hasOpenFlowEvidence =
+    aDetector.mLiveness == Liveness::Unresponsive &&
+    aDetector.mRetransmittingOpenFlows >= kUnresponsiveAfterFlows;
+  return aDetector.mLiveness >= Liveness::Reported &&
+         aMissingAnswers >= (hasOpenFlowEvidence ? 1 : kAbandonedAfterMissing);
 }
 
 bool
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -23,7 +23,7 @@
     findings.mAnswered = true;
     findings.mAnsweredSent = aEntry.mOpenSent;
     aEntry.mRequestActive = false;
-    aEntry.mMissingAnswerRecorded = false;
+    aEntry.mMissingAnswers = 0;
   } else if (IsAfter(aPacket.mAcknowledged, aEntry.mAcknowledged)) {
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
@@ -36,7 +36,8 @@
     if (IsAfter(end, aEntry.mNextSequence)) {
       aEntry.mNextSequence = end;
       aEntry.mNewDataSent = aNow;
-      aEntry.mMissingAnswerRecorded = false;
+      aEntry.mLastDataSent = aNow;
+      aEntry.mMissingAnswers = 0;
       // Data that follows before an answer belongs to the same request.
       aEntry.mRequests += aEntry.mRequestActive ? 0 : 1;
       aEntry.mRequestActive = true;
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -132,11 +132,28 @@
          aSent >= aRouter.mIgnoreEvidenceBefore;
 }
 
+/// Records that a caller has retransmitted data of an active request. Only the
+/// first missing answer counts as evidence of a further flow.
+void
+RecordRetransmittedData(FlowRouter& aRouter,
+                        UpstreamRecord& aRecord,
+                        FlowEntry& aEntry,
+                        state::TimePoint aNow)
+{
+  const auto lastSent = std::exchange(aEntry.mLastDataSent, aNow);
+  if (!IsMissingAnswer(aRouter, lastSent, aNow)) {
+    return;
+  }
+  if (++aEntry.mMissingAnswers == 1) {
+    HandleRetransmission(
+      aRouter, aRecord, RetransmittedPacket::Data, aEntry.mNewDataSent, aNow);
+  }
+}
+
 /// Decides on a packet of an established flow and records what it shows. The
 /// packet goes to the upstream that its token names. Reset instead are flows
 /// whose route was dropped, and idempotent flows that retransmit to a reported
-/// or unresponsive upstream or send data to one that does not answer open
-/// flows.
+/// or unresponsive upstream; see IsAbandoned.
 Decision
 OnEstablished(FlowRouter& aRouter,
               const CallerPacket& aPacket,
@@ -183,19 +200,11 @@
       aRouter,
       *record,
       RecordAnswer(record->mFailureDetector, findings.mAnsweredSent));
-  } else if (findings.mRetransmitted && entry.mRequestActive &&
-             !entry.mMissingAnswerRecorded &&
-             IsMissingAnswer(aRouter, entry.mNewDataSent, aNow)) {
-    entry.mMissingAnswerRecorded = true;
-    HandleRetransmission(
-      aRouter, *record, RetransmittedPacket::Data, entry.mNewDataSent, aNow);
+  } else if (findings.mRetransmitted && entry.mRequestActive) {
+    RecordRetransmittedData(aRouter, *record, entry, aNow);
   }
-  const auto& detector = record->mFailureDetector;
-  const bool isAbandoned =
-    AbandonsOpenFlows(detector) ||
-    (detector.mLiveness >= Liveness::Reported && findings.mRetransmitted &&
-     entry.mMissingAnswerRecorded);
-  if (isAbandoned && aPacket.mPayloadBytes > 0 && IsIdempotent(entry.mKind)) {
+  if (findings.mRetransmitted && IsIdempotent(entry.mKind) &&
+      IsAbandoned(record->mFailureDetector, entry.mMissingAnswers)) {
     RemoveFlow(aRouter, aPacket.mFlow);
     return { PacketAction::Reset,
              Reason::UpstreamUnresponsive,
@@ -310,9 +319,9 @@
     }
     const bool isOpenUnanswered =
       !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
-    if (isOpenUnanswered && !entry.mMissingAnswerRecorded &&
+    if (isOpenUnanswered && entry.mMissingAnswers == 0 &&
         entry.mOpenSent >= aRouter.mIgnoreEvidenceBefore) {
-      entry.mMissingAnswerRecorded = true;
+      entry.mMissingAnswers = 1;
       aRouter.mOpens.mUnanswered += 1;
       RecordLivenessChange(
         aRouter,
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -10,9 +10,8 @@
 namespace {
 
 /// Abandons the flows whose idempotent requests an unresponsive upstream has
-/// not answered, so that their callers try again at once instead of after their
-/// next retransmission. Unless the evidence is from open flows, these are the
-/// flows whose callers have already retransmitted.
+/// not answered in time, so that their callers try again at once instead of
+/// after their next retransmission.
 void
 AbandonRequests(FlowRouter& aRouter,
                 const UpstreamRecord& aRecord,
@@ -24,8 +23,7 @@
       entry.mToken == aRecord.mToken && entry.mEstablished &&
       entry.mRequestActive && IsIdempotent(entry.mKind) &&
       entry.mNewDataSent > aRecord.mFailureDetector.mLastAnsweredSent &&
-      (AbandonsOpenFlows(aRecord.mFailureDetector) ||
-       entry.mMissingAnswerRecorded);
+      IsAbandoned(aRecord.mFailureDetector, entry.mMissingAnswers);
     if (!isUnanswered) {
       ++it;
       continue;
