Clear evidence of a failure when the answer is only late

Cause: an answer cleared the evidence against its upstream only if its packet was forwarded after the first unanswered one. The late answer to that packet itself did not count, so that retransmissions of two flows, both answered meanwhile, could make the upstream unresponsive.

Change: the answer to a retransmitted request counts from the last time the request was forwarded. Either that copy was answered, or the answer was delayed by more than the timeout; in both cases the retransmission shows no failure. Verification of the link still uses the first time.

Test: ALateAnswerVoidsTheEvidenceOfItsRetransmission fails before.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -103,8 +103,8 @@
 };
 
 /// @brief Records that the upstream has answered a packet of a flow. If the
-/// packet was forwarded after the first unanswered one, all evidence is cleared
-/// and the upstream is responsive.
+/// packet was not forwarded before the first unanswered one, all evidence is
+/// cleared and the upstream is responsive.
 /// @param aDetector the upstream's failure detector
 /// @param aSent when the answered packet was forwarded
 /// @return whether its liveness changed
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -59,8 +59,12 @@
 {
   /// The upstream has answered since the previous packet.
   bool mAnswered = false;
-  /// When the packet that the upstream has answered was forwarded.
+  /// When the packet that the upstream has answered was first forwarded.
   state::TimePoint mAnsweredSent;
+  /// When it was last forwarded. If it was retransmitted, either that copy was
+  /// answered, or the answer took longer than kAnswerTimeout. In both cases the
+  /// earlier evidence against the upstream is void.
+  state::TimePoint mAnsweredCopySent;
   /// The answer is the first one to an active request.
   bool mAnswersRequest = false;
   /// The payload ends at or before the end of earlier payload. It is a
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -67,12 +67,12 @@
 }
 
 /// Clears all evidence if a packet or probe was answered that was sent after
-/// the first unanswered packet.
+/// the first unanswered packet, or if that packet itself was answered late.
 bool
 ClearEvidence(FailureDetector& aDetector, state::TimePoint aSent)
 {
   aDetector.mLastAnsweredSent = std::max(aDetector.mLastAnsweredSent, aSent);
-  if (aSent <= aDetector.mUnansweredSince) {
+  if (aSent < aDetector.mUnansweredSince) {
     return false;
   }
   aDetector.mRetransmittingFlows = 0;
@@ -105,7 +105,7 @@
                state::TimePoint aSent,
                state::TimePoint aNow)
 {
-  if (aSent < aDetector.mLastAnsweredSent || aNow - aSent < kAnswerTimeout) {
+  if (aSent <= aDetector.mLastAnsweredSent || aNow - aSent < kAnswerTimeout) {
     return false;
   }
   auto& unansweredSince = aDetector.mUnansweredSince;
--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -279,6 +279,21 @@
   EXPECT_EQ(decision.mAction, PacketAction::Reset);
 }
 
+// Guards against resets at an upstream whose answers are late instead of
+// missing: once the retransmitted request of one flow is answered, it is no
+// longer evidence beside that of another one.
+TEST(FailureDetector, ALateAnswerVoidsTheEvidenceOfItsRetransmission)
+{
+  TwoUnansweredFeeds fixture;
+  SendRequest(fixture, 1, fixture.mToken, milliseconds(300));
+  ASSERT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Suspected);
+  fixture.Send(1, kFeedPort, fixture.mToken, 171, 400, 0, milliseconds(305));
+  EXPECT_EQ(LivenessOf(fixture, fixture.mToken), Liveness::Responsive);
+  const auto decision =
+    SendRequest(fixture, 2, fixture.mToken, milliseconds(310));
+  EXPECT_EQ(decision.mAction, PacketAction::Forward);
+}
+
 // Guards against new flows that keep going to a crashed upstream because
 // another process answers probes at its address. That one does not answer the
 // flows, so that after it, only an answered flow may make the upstream
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -22,12 +22,14 @@
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
     findings.mAnsweredSent = aEntry.mOpenSent;
+    findings.mAnsweredCopySent = aEntry.mOpenSent;
     aEntry.mRequestActive = false;
     aEntry.mMissingAnswers = 0;
   } else if (IsAfter(aPacket.mAcknowledged, aEntry.mAcknowledged)) {
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
     findings.mAnsweredSent = aEntry.mNewDataSent;
+    findings.mAnsweredCopySent = aEntry.mLastDataSent;
     findings.mAnswersRequest = aEntry.mRequestActive;
     aEntry.mRequestActive = false;
   }
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -199,7 +199,7 @@
     RecordLivenessChange(
       aRouter,
       *record,
-      RecordAnswer(record->mFailureDetector, findings.mAnsweredSent));
+      RecordAnswer(record->mFailureDetector, findings.mAnsweredCopySent));
   } else if (findings.mRetransmitted && entry.mRequestActive) {
     RecordRetransmittedData(aRouter, *record, entry, aNow);
   }
