Count no missing answers while the own link is congested

Callers saw open feeds reset at upstreams that serve, 0.4 s after the start of a burst of uploads and without any failure.

Cause: the packets waited and were lost in queues of this instance's own link (10 Mbit/s). Callers retransmitted after 200 ms, and two retransmissions made an upstream unresponsive. Some upstream had answered a later packet, which verified the link although it delayed others.

Change: the link monitor estimates the queue from what was forwarded and the link's bandwidth, and watches the handshakes, which upstreams answer at once. Packets that were forwarded while the link is congested are no evidence, as those from before a stall.

Tests: AQueueOnTheOwnLinkIsNoEvidence and SlowHandshakesAtAllUpstreamsAreNoEvidence fail without the call of UpdateEvidencePeriod.

--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -2,6 +2,7 @@
 #define SASSAFRASKNOT_FLOWS_FLOW_ROUTER_HPP
 
 #include "sassafrasknot/flows/flow_entry.hpp"
+#include "sassafrasknot/flows/link_monitor.hpp"
 #include "sassafrasknot/flows/packet.hpp"
 #include "sassafrasknot/flows/placement.hpp"
 #include "sassafrasknot/flows/routing.hpp"
@@ -29,6 +30,8 @@
   PlacementPolicy mPolicy;
   /// Seed of the random choices among upstreams.
   std::uint32_t mRandomSeed = 1;
+  /// Bandwidth of this instance's link, in Mbit/s; 0 if not known.
+  double mLinkMbps = 0;
 };
 
 /// @brief Why a packet was handled as it was.
@@ -146,8 +149,10 @@
   /// When the newest packet that any upstream has answered was forwarded. It
   /// verifies that this instance's own link worked then.
   state::TimePoint mLinkVerifiedAt;
-  /// Packets that were forwarded before this time, the end of the last stall,
-  /// are no evidence of a failure. What arrived
+  /// Delays on this instance's own link.
+  LinkMonitor mLink;
+  /// Packets that were forwarded before this time, the end of the last stall or
+  /// congestion of this instance, are no evidence of a failure. What arrived
   /// during a stall is processed at once after it, so that a retransmission may
   /// be read although the upstream has answered in time.
   state::TimePoint mIgnoreEvidenceBefore;
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -66,7 +66,8 @@
   , mRouter(flows::MakeRouter(
       { mSettings.mDataCentre,
         {},
-        static_cast<std::uint32_t>(state::HashBytes(mSettings.mInstance)) }))
+        static_cast<std::uint32_t>(state::HashBytes(mSettings.mInstance)),
+        mSettings.mLinkMbps }))
 {
 }
 
--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -294,6 +294,50 @@
   EXPECT_EQ(decision.mAction, PacketAction::Forward);
 }
 
+/// Two feeds with unanswered requests at an instance whose link has 10 Mbit/s
+/// while an upload of the given size passes through it.
+Decision
+RetransmitBesideUpload(std::uint32_t aUploadPackets)
+{
+  TwoUnansweredFeeds fixture;
+  fixture.mRouter.mLink = MakeLinkMonitor(10);
+  for (std::uint32_t packet = 0; packet < aUploadPackets; ++packet) {
+    fixture.Send(7,
+                 kRequestPort,
+                 TokenOf("i-2"),
+                 1 + packet * 1200,
+                 1,
+                 1200,
+                 milliseconds(90 + packet / 4));
+  }
+  SendRequest(fixture, 1, fixture.mToken, milliseconds(300));
+  return SendRequest(fixture, 2, fixture.mToken, milliseconds(310));
+}
+
+// Guards against resets while many uploads pass through an instance with a
+// slow link: packets wait and are lost in its queue, so that retransmissions
+// say nothing about the upstream.
+TEST(FailureDetector, AQueueOnTheOwnLinkIsNoEvidence)
+{
+  EXPECT_EQ(RetransmitBesideUpload(400).mAction, PacketAction::Forward);
+  EXPECT_EQ(RetransmitBesideUpload(20).mAction, PacketAction::Reset);
+}
+
+// Guards against the same where the queue is in the network towards this
+// instance: it shows as handshakes that are slow at all upstreams alike.
+TEST(FailureDetector, SlowHandshakesAtAllUpstreamsAreNoEvidence)
+{
+  TwoUnansweredFeeds fixture;
+  for (std::uint16_t port = 20; port < 24; ++port) {
+    const auto token =
+      fixture.Open(port, kRequestPort, milliseconds(port)).mUpstream->mToken;
+    fixture.Send(port, kRequestPort, token, 1, 1, 0, milliseconds(port + 120));
+  }
+  SendRequest(fixture, 1, fixture.mToken, milliseconds(300));
+  EXPECT_EQ(SendRequest(fixture, 2, fixture.mToken, milliseconds(310)).mAction,
+            PacketAction::Forward);
+}
+
 // Guards against new flows that keep going to a crashed upstream because
 // another process answers probes at its address. That one does not answer the
 // flows, so that after it, only an answered flow may make the upstream
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -120,6 +120,16 @@
     PacketAction::Reset, Reason::NoRoute, state::Verdict::MayHaveRun);
 }
 
+/// Ignores missing answers to packets that were forwarded while this instance's
+/// link is congested, since they may have been delayed or lost there.
+void
+UpdateEvidencePeriod(FlowRouter& aRouter, state::TimePoint aNow)
+{
+  if (IsCongested(aRouter.mLink, aNow)) {
+    aRouter.mIgnoreEvidenceBefore = aNow;
+  }
+}
+
 /// Returns whether a retransmission of a packet forwarded at aSent shows that
 /// its answer is missing: neither did another packet overtake it, nor was this
 /// process stalled since.
@@ -176,6 +186,7 @@
   AddLoad(*record, entry, -1);
   if (entry.mOpenedHere && !entry.mEstablished) {
     aRouter.mOpens.mAnswered += 1;
+    RecordHandshake(aRouter.mLink, aNow - entry.mOpenSent, aNow);
   }
   const auto requestsBefore = entry.mRequests;
   const auto findings = RecordPacket(entry, aPacket, aNow);
@@ -242,6 +253,7 @@
 {
   FlowRouter router;
   router.mRandom.seed(aSettings.mRandomSeed);
+  router.mLink = MakeLinkMonitor(aSettings.mLinkMbps);
   router.mSettings = std::move(aSettings);
   return router;
 }
@@ -287,14 +299,20 @@
     return MakeRefusal(
       PacketAction::Hold, Reason::NotReady, state::Verdict::NotRun);
   }
-  return aPacket.mKind == state::SegmentKind::Open
-           ? OnOpen(aRouter, aPacket, aNow)
-           : OnEstablished(aRouter, aPacket, aNow);
+  UpdateEvidencePeriod(aRouter, aNow);
+  auto decision = aPacket.mKind == state::SegmentKind::Open
+                    ? OnOpen(aRouter, aPacket, aNow)
+                    : OnEstablished(aRouter, aPacket, aNow);
+  if (decision.mAction == PacketAction::Forward) {
+    RecordForwarded(aRouter.mLink, aPacket.mPayloadBytes, aNow);
+  }
+  return decision;
 }
 
 void
 OnTick(FlowRouter& aRouter, state::TimePoint aNow)
 {
+  UpdateEvidencePeriod(aRouter, aNow);
   if (aNow - aRouter.mLastTick > kStallThreshold) {
     aRouter.mIgnoreEvidenceBefore = aNow;
   }
