--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -120,6 +120,16 @@
     PacketAction::Reset, Reason::NoRoute, state::Verdict::MayHaveRun);
 }
 
+/// Ignores missing answers to packets that were forwarded while this instance's
+/// link is congested, since they may have been delayed or lost there.
+void
+UpdateEvidencePeriod(FlowRouter& aRouter, state::TimePoint aNow)
+{
+  if (IsCongested(aRouter.mLink, aNow)) {
+    aRouter.mIgnoreEvidenceBefore = aNow;
+  }
+}
+
 /// Returns whether a retransmission of a packet forwarded at aSent shows that
 /// its answer is missing: neither did another packet overtake it, nor was this
 /// process stalled since.
@@ -132,11 +142,28 @@
          aSent >= aRouter.mIgnoreEvidenceBefore;
 }
 
+/// Records that a caller has retransmitted data of an active request. Only the
+/// first missing answer counts as evidence of a further flow.
+void
+RecordRetransmittedData(FlowRouter& aRouter,
+                        UpstreamRecord& aRecord,
+                        FlowEntry& aEntry,
+                        state::TimePoint aNow)
+{
+  const auto lastSent = std::exchange(aEntry.mLastDataSent, aNow);
+  if (!IsMissingAnswer(aRouter, lastSent, aNow)) {
+    return;
+  }
+  if (++aEntry.mMissingAnswers == 1) {
+    HandleRetransmission(
+      aRouter, aRecord, RetransmittedPacket::Data, aEntry.mNewDataSent, aNow);
+  }
+}
+
 /// Decides on a packet of an established flow and records what it shows. The
 /// packet goes to the upstream that its token names. Reset instead are flows
 /// whose route was dropped, and idempotent flows that retransmit to a reported
-/// or unresponsive upstream or send data to one that does not answer open
-/// flows.
+/// or unresponsive upstream; see IsAbandoned.
 Decision
 OnEstablished(FlowRouter& aRouter,
               const CallerPacket& aPacket,
@@ -159,6 +186,7 @@
   AddLoad(*record, entry, -1);
   if (entry.mOpenedHere && !entry.mEstablished) {
     aRouter.mOpens.mAnswered += 1;
+    RecordHandshake(aRouter.mLink, aNow - entry.mOpenSent, aNow);
   }
   const auto requestsBefore = entry.mRequests;
   const auto findings = RecordPacket(entry, aPacket, aNow);
@@ -182,20 +210,12 @@
     RecordLivenessChange(
       aRouter,
       *record,
-      RecordAnswer(record->mFailureDetector, findings.mAnsweredSent));
-  } else if (findings.mRetransmitted && entry.mRequestActive &&
-             !entry.mMissingAnswerRecorded &&
-             IsMissingAnswer(aRouter, entry.mNewDataSent, aNow)) {
-    entry.mMissingAnswerRecorded = true;
-    HandleRetransmission(
-      aRouter, *record, RetransmittedPacket::Data, entry.mNewDataSent, aNow);
+      RecordAnswer(record->mFailureDetector, findings.mAnsweredCopySent));
+  } else if (findings.mRetransmitted && entry.mRequestActive) {
+    RecordRetransmittedData(aRouter, *record, entry, aNow);
   }
-  const auto& detector = record->mFailureDetector;
-  const bool isAbandoned =
-    AbandonsOpenFlows(detector) ||
-    (detector.mLiveness >= Liveness::Reported && findings.mRetransmitted &&
-     entry.mMissingAnswerRecorded);
-  if (isAbandoned && aPacket.mPayloadBytes > 0 && IsIdempotent(entry.mKind)) {
+  if (findings.mRetransmitted && IsIdempotent(entry.mKind) &&
+      IsAbandoned(record->mFailureDetector, entry.mMissingAnswers)) {
     RemoveFlow(aRouter, aPacket.mFlow);
     return { PacketAction::Reset,
              Reason::UpstreamUnresponsive,
@@ -233,6 +253,7 @@
 {
   FlowRouter router;
   router.mRandom.seed(aSettings.mRandomSeed);
+  router.mLink = MakeLinkMonitor(aSettings.mLinkMbps);
   router.mSettings = std::move(aSettings);
   return router;
 }
@@ -278,14 +299,20 @@
     return MakeRefusal(
       PacketAction::Hold, Reason::NotReady, state::Verdict::NotRun);
   }
-  return aPacket.mKind == state::SegmentKind::Open
-           ? OnOpen(aRouter, aPacket, aNow)
-           : OnEstablished(aRouter, aPacket, aNow);
+  UpdateEvidencePeriod(aRouter, aNow);
+  auto decision = aPacket.mKind == state::SegmentKind::Open
+                    ? OnOpen(aRouter, aPacket, aNow)
+                    : OnEstablished(aRouter, aPacket, aNow);
+  if (decision.mAction == PacketAction::Forward) {
+    RecordForwarded(aRouter.mLink, aPacket.mPayloadBytes, aNow);
+  }
+  return decision;
 }
 
 void
 OnTick(FlowRouter& aRouter, state::TimePoint aNow)
 {
+  UpdateEvidencePeriod(aRouter, aNow);
   if (aNow - aRouter.mLastTick > kStallThreshold) {
     aRouter.mIgnoreEvidenceBefore = aNow;
   }
@@ -310,9 +337,9 @@
     }
     const bool isOpenUnanswered =
       !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
-    if (isOpenUnanswered && !entry.mMissingAnswerRecorded &&
+    if (isOpenUnanswered && entry.mMissingAnswers == 0 &&
         entry.mOpenSent >= aRouter.mIgnoreEvidenceBefore) {
-      entry.mMissingAnswerRecorded = true;
+      entry.mMissingAnswers = 1;
       aRouter.mOpens.mUnanswered += 1;
       RecordLivenessChange(
         aRouter,
