Place no flow in evacuated data centres

Cause: the item op/evacuate/ZONE reached all instances but was ignored.

Change: the item is decoded whatever its value is, kept with its revision in DirectoryBuilder and Directory, and marks upstreams of the data centre, which AcceptsFlows refuses. Probes of them stop; a copy of an opening packet that would go there is discarded until its answer is overdue. With subsetting, instances of an evacuated data centre draw eight random upstreams of the others, choose one data centre of them in proportion to its spare capacity and compare its upstreams. Log events, metrics and dump lines show the progress by data centre.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -70,6 +70,9 @@
   std::atomic<std::uint64_t> mMalformedRecords{ 0 };
   /// Routes with a defect per RouteDefect, over all received configurations.
   std::array<std::atomic<std::uint64_t>, kRouteDefectCount> mDefectiveRoutes{};
+  /// Evacuations of a data centre that had no upstreams, at their start or
+  /// later.
+  std::atomic<std::uint64_t> mEvacuationsWithoutUpstreams{ 0 };
   /// Datagrams received on the fleet endpoint, malformed ones included.
   std::atomic<std::uint64_t> mFleetMessages{ 0 };
   std::atomic<std::uint64_t> mMalformedMessages{ 0 };
--- a/include/sassafrasknot/edge/platform_formats.hpp
+++ b/include/sassafrasknot/edge/platform_formats.hpp
@@ -3,6 +3,7 @@
 
 #include "sassafrasknot/fleet/catalogue.hpp"
 #include "sassafrasknot/fleet/store_reader.hpp"
+#include "sassafrasknot/flows/evacuation.hpp"
 #include "sassafrasknot/flows/packet.hpp"
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/state/error.hpp"
@@ -86,10 +87,21 @@
   std::vector<DefectiveRoute> mDefectiveRoutes;
 };
 
-/// @brief Content of a record: a configuration, an upstream, or nothing that an
-/// instance uses.
-using RecordContent =
-  std::variant<std::monostate, DecodedConfiguration, flows::Upstream>;
+/// @brief A decoded order to evacuate a data centre. The key names the data
+/// centre, so that the order holds whatever its value is.
+struct DecodedEvacuation
+{
+  flows::Evacuation mEvacuation;
+  /// Why the value could not be decoded, empty if it could.
+  std::string mValueError;
+};
+
+/// @brief Content of a record: a configuration, an upstream, an evacuation, or
+/// nothing that an instance uses.
+using RecordContent = std::variant<std::monostate,
+                                   DecodedConfiguration,
+                                   flows::Upstream,
+                                   DecodedEvacuation>;
 
 /// @brief Functions that call and decode the store of one platform.
 struct StoreFormat
@@ -106,6 +118,9 @@
   /// Id of the upstream that a key describes; nothing for keys of other
   /// records.
   std::optional<std::string> (*mUpstreamIdOf)(const std::string& aKey);
+  /// Data centre whose evacuation a key orders; nothing for keys of other
+  /// records.
+  std::optional<state::DataCentreId> (*mEvacuatedBy)(const std::string& aKey);
   /// HTTP status with which the store reports that it no longer keeps the
   /// changes after a revision.
   unsigned mHistoryCompactedStatus = 410;
--- a/include/sassafrasknot/flows/directory_builder.hpp
+++ b/include/sassafrasknot/flows/directory_builder.hpp
@@ -29,6 +29,7 @@
   std::shared_ptr<const Configuration> mConfiguration;
   /// Upstreams by id.
   std::map<std::string, Entry> mUpstreams;
+  Evacuations mEvacuations;
 };
 
 /// @brief Adds an upstream or replaces its description. An expired one is
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -49,10 +49,12 @@
   UnknownToken,  ///< The token's upstream is not known here.
   UpstreamUnresponsive, ///< The upstream is unresponsive; the caller may try
                         ///< again.
+  Evacuated, ///< The upstream's data centre is evacuated, and the flow waits
+             ///< until its answer is overdue.
 };
 
 /// @brief Number of reasons.
-constexpr std::size_t kReasonCount = 11;
+constexpr std::size_t kReasonCount = 12;
 
 /// @brief Returns the name of a reason as it stands in logs and metrics.
 /// @param aReason reason of a decision
@@ -77,8 +79,8 @@
   /// Whether the flow's request may have been executed, as far as this instance
   /// can tell.
   state::Verdict mVerdict = state::Verdict::NotRun;
-  /// Upstream that the packet is forwarded to, or because of whose failure the
-  /// flow is reset; valid until the next directory.
+  /// Upstream that the packet is forwarded to, or because of whose failure or
+  /// evacuation it is not; valid until the next directory.
   const UpstreamRecord* mUpstream = nullptr;
   /// Upstream that did not answer the flow's opening packet; for Reassigned.
   const UpstreamRecord* mPreviousUpstream = nullptr;
@@ -151,6 +153,9 @@
   state::TimePoint mLinkVerifiedAt;
   /// Delays on this instance's own link.
   LinkMonitor mLink;
+  /// New flows that were refused although upstreams of an evacuated data centre
+  /// serve them, by that data centre, since the start.
+  std::map<state::DataCentreId, std::uint64_t> mEvacuationRefusals;
   /// Packets that were forwarded before this time, the end of the last stall or
   /// congestion of this instance, are no evidence of a failure. What arrived
   /// during a stall is processed at once after it, so that a retransmission may
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -35,6 +35,10 @@
   /// all, they would all choose the same one.
   std::size_t mRemoteChoices = 1;
   std::size_t mLocalChoices = 2;
+  /// With subsetting: number of random upstreams to draw if this instance's
+  /// data centre is evacuated. Those of one data centre are compared, about
+  /// half of them if two are left.
+  std::size_t mSpreadChoices = 8;
 };
 
 /// @brief A new flow that needs an upstream.
@@ -62,7 +66,9 @@
 /// and due no trial are considered only if there is no other, and
 /// aRequest.mAvoid comes last. With subsetting, this instance's subset and a
 /// few random upstreams of other data centres are compared, or a few random
-/// ones of all data centres if no upstream of the subset admits the flow.
+/// ones of all data centres if no upstream of the subset admits the flow. If
+/// the subset's data centre is evacuated, flows are spread over the other ones
+/// in proportion to their spare capacity.
 /// @param aPool the service's upstreams
 /// @param aRequest the flow
 /// @param aPolicy penalties, weights and numbers of random choices
--- a/include/sassafrasknot/flows/routing.hpp
+++ b/include/sassafrasknot/flows/routing.hpp
@@ -89,6 +89,10 @@
   Presence mPresence = Presence::Listed;
 };
 
+/// @brief Evacuated data centres, each with the revision of the store at which
+/// its evacuation was last ordered.
+using Evacuations = std::map<state::DataCentreId, state::Revision>;
+
 /// @brief Configuration and upstreams at one revision of the store; immutable
 /// once passed to the traffic thread.
 struct Directory
@@ -96,6 +100,8 @@
   state::Revision mRevision = 0;
   std::shared_ptr<const Configuration> mConfiguration;
   std::vector<ListedUpstream> mUpstreams;
+  /// Data centres whose upstreams receive no new flow.
+  Evacuations mEvacuations;
 };
 
 } // namespace sassafrasknot::flows
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -33,6 +33,8 @@
   Upstream mUpstream;
   UpstreamToken mToken = kNoToken;
   Presence mPresence = Presence::Listed;
+  /// Whether its data centre is evacuated, so that it receives no new flow.
+  bool mEvacuated = false;
   /// When it ceases to be slow after its start.
   state::TimePoint mWarmUpEnd;
   /// When it left the directory; only for Presence::Removed.
@@ -61,10 +63,15 @@
   /// Upstreams of this data centre among which this instance chooses: all of
   /// them, or its subset.
   std::vector<UpstreamRecord*> mLocalCandidates;
-  /// Upstreams of other data centres.
+  /// Upstreams of other data centres, except evacuated ones.
   std::vector<UpstreamRecord*> mRemote;
   /// Whether mLocalCandidates is this instance's subset.
   bool mIsSubset = false;
+  /// Whether flows are spread over mRemote: mLocalCandidates is a subset whose
+  /// data centre is evacuated.
+  bool mSpreadsRemotely = false;
+  /// Evacuated data centres that have upstreams of the service.
+  std::vector<state::DataCentreId> mEvacuated;
 };
 
 /// @brief All upstreams that packets may name, by token and by service.
--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -23,6 +23,8 @@
         "upstream_lapsed",
         { { "upstream", *id },
           { "revision", std::to_string(mCore.mCatalogue.mRevision) } });
+    } else if (const auto dataCentre = mFormats.mStore.mEvacuatedBy(key)) {
+      ApplyEvacuationEnd(*dataCentre);
     }
   }
 }
@@ -53,6 +55,9 @@
   } else if (const auto* configuration =
                std::get_if<DecodedConfiguration>(&content.value())) {
     ApplyConfiguration(*configuration, revision);
+  } else if (const auto* evacuation =
+               std::get_if<DecodedEvacuation>(&content.value())) {
+    ApplyEvacuation(*evacuation, aRecord.mKey);
   }
 }
 
@@ -83,6 +88,7 @@
     return;
   }
   mDirectoryOutdated = false;
+  CheckEvacuations();
   mTraffic.SetDirectory(
     flows::BuildDirectory(mDirectoryBuilder, mCore.mCatalogue.mRevision));
   if (!std::exchange(mDirectoryPublished, true)) {
--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -108,7 +108,8 @@
           static_cast<double>(lines.mSuppressed) },
         { "log_lines_dropped",
           "Lines lost because the reader of the log did not keep up.",
-          static_cast<double>(lines.mDropped) } })
+          static_cast<double>(lines.mDropped) } }) +
+      FormatEvacuationMetrics(EvacuationReports())
   };
 }
 
@@ -131,6 +132,7 @@
             peer.mMember.mDataCentre.mValue +
             (fleet::IsAlive(peer, now) ? " alive" : " dead") + "\n";
   }
+  text += FormatEvacuations(EvacuationReports());
   return mTrafficReport.mUpstreamDump ? text + *mTrafficReport.mUpstreamDump
                                       : text;
 }
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -14,10 +14,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "evacuation_report.hpp"
 #include "store_client.hpp"
 #include "traffic_loop.hpp"
 #include <boost/asio/io_context.hpp>
@@ -78,6 +80,17 @@
   /// Replaces the configuration, and logs and counts its defective routes.
   void ApplyConfiguration(const DecodedConfiguration& aDecoded,
                           const std::string& aRevision);
+  /// Begins an evacuation and logs it. A value that could not be decoded is
+  /// counted and logged with its key.
+  void ApplyEvacuation(const DecodedEvacuation& aDecoded,
+                       const std::string& aKey);
+  /// Ends the evacuation of a data centre and logs it.
+  void ApplyEvacuationEnd(const state::DataCentreId& aDataCentre);
+  /// Logs and counts evacuated data centres that have no upstreams, each once
+  /// until it has some.
+  void CheckEvacuations();
+  /// Returns the state of the evacuated data centres.
+  std::vector<EvacuationReport> EvacuationReports() const;
   /// Sends a new directory to the traffic thread if records have changed; not
   /// before the store has confirmed a revision and a configuration is known.
   void PublishDirectory();
@@ -106,6 +119,8 @@
   /// Records changed since the last published directory.
   bool mDirectoryOutdated = false;
   bool mDirectoryPublished = false;
+  /// Evacuated data centres without upstreams.
+  std::set<state::DataCentreId> mEvacuatedWithoutUpstreams;
   bool mStoreReachable = true;
   /// Loads of other instances arrived that the traffic thread does not have.
   bool mPeerLoadsChanged = false;
--- a/src/sassafrasknot/edge/control_requests.cpp
+++ b/src/sassafrasknot/edge/control_requests.cpp
@@ -72,7 +72,10 @@
       mDirectoryBuilder.mUpstreams, [token](const auto& aItem) {
         return flows::TokenOf(aItem.first) == token;
       });
-    if (found == mDirectoryBuilder.mUpstreams.end()) {
+    // Peers that do not know of an evacuation yet ask for probes there.
+    if (found == mDirectoryBuilder.mUpstreams.end() ||
+        mDirectoryBuilder.mEvacuations.contains(
+          found->second.mListed.mUpstream.mDataCentre)) {
       fleet::RecordProbeEnd(mProbeSchedule, token, aNow);
     } else {
       StartProbe(found->second.mListed.mUpstream);
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -67,6 +67,7 @@
       { "data_centre", record.mUpstream.mDataCentre.mValue },
       { "presence", std::string(ToText(record.mPresence)) },
       { "draining", YesOrNo(record.mUpstream.mDraining) },
+      { "evacuated", YesOrNo(record.mEvacuated) },
       { "cold", YesOrNo(aNow < record.mWarmUpEnd) },
       { "own_feeds", std::to_string(record.mOwnLoad.mFeeds) },
       { "own_at_work", std::to_string(record.mOwnLoad.mActiveRequests) },
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -31,6 +31,9 @@
 constexpr std::size_t kReceiveBufferBytes = std::size_t{ 1 } << 20U;
 /// Interval at which the upstreams are formatted for dumps.
 constexpr std::chrono::seconds kDumpInterval{ 5 };
+/// Interval at which the open flows in evacuated data centres are counted,
+/// which iterates over all flows.
+constexpr std::chrono::seconds kEvacuationStatusInterval{ 1 };
 /// Upper limit of packets that are held until the first directory, about 100 ms
 /// after the start. Further packets are dropped; callers retransmit them.
 constexpr std::size_t kMaxHeldPackets = 512;
@@ -196,7 +199,7 @@
       report.mUnresponsive.push_back(token);
     }
     if (record.mFailureDetector.mLiveness != flows::Liveness::Responsive &&
-        record.mPresence != flows::Presence::Removed) {
+        record.mPresence != flows::Presence::Removed && !record.mEvacuated) {
       report.mProbeCandidates.push_back(token);
     }
   }
@@ -204,6 +207,11 @@
     mNextDump = aNow + kDumpInterval;
     mUpstreamDump = FormatUpstreams(mRouter, aNow);
   }
+  if (aNow >= mNextEvacuationStatus) {
+    mNextEvacuationStatus = aNow + kEvacuationStatusInterval;
+    mEvacuations = flows::EvacuationStatuses(mRouter);
+  }
+  report.mEvacuations = mEvacuations;
   report.mLocalUtilisation = flows::LocalUtilisation(mRouter.mUpstreams);
   report.mUpstreamDump = mUpstreamDump;
   report.mOpenFlows = mRouter.mFlows.size();
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -5,6 +5,7 @@
 #include "sassafrasknot/edge/platform_formats.hpp"
 #include "sassafrasknot/edge/settings.hpp"
 #include "sassafrasknot/fleet/fleet_message.hpp"
+#include "sassafrasknot/flows/evacuation_status.hpp"
 #include "sassafrasknot/flows/flow_router.hpp"
 #include "sassafrasknot/net/structured_log.hpp"
 #include "sassafrasknot/net/udp_socket.hpp"
@@ -37,9 +38,12 @@
   /// Active requests per slot of the upstreams of this data centre that this
   /// instance chooses from.
   double mLocalUtilisation = 0;
-  /// Upstreams that are suspected or unresponsive and not removed.
+  /// Upstreams that are suspected or unresponsive, and neither removed nor
+  /// evacuated.
   std::vector<flows::UpstreamToken> mProbeCandidates;
   std::size_t mOpenFlows = 0;
+  /// Progress of evacuations; it can be a second old.
+  std::map<state::DataCentreId, flows::EvacuationStatus> mEvacuations;
   /// Time since the last datagram on the traffic endpoint.
   state::Duration mSinceLastPacket{ 0 };
   /// State of all upstreams for the dump; it can be a few seconds old.
@@ -125,6 +129,8 @@
   state::TimePoint mLastPacket;
   state::TimePoint mNextDump;
   state::TimePoint mNextReport;
+  state::TimePoint mNextEvacuationStatus;
+  std::map<state::DataCentreId, flows::EvacuationStatus> mEvacuations;
   std::shared_ptr<const std::string> mUpstreamDump;
   /// Packets that arrived before the first directory.
   std::vector<std::vector<std::uint8_t>> mHeld;
--- a/src/sassafrasknot/flows/directory_builder.cpp
+++ b/src/sassafrasknot/flows/directory_builder.cpp
@@ -42,6 +42,7 @@
   auto directory = std::make_shared<Directory>();
   directory->mRevision = aRevision;
   directory->mConfiguration = aBuilder.mConfiguration;
+  directory->mEvacuations = aBuilder.mEvacuations;
   directory->mUpstreams.reserve(aBuilder.mUpstreams.size());
   for (const auto& [id, entry] : aBuilder.mUpstreams) {
     directory->mUpstreams.push_back(entry.mListed);
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -241,9 +241,9 @@
 ToString(Reason aReason)
 {
   constexpr std::array<std::string_view, kReasonCount> names{
-    "placed",   "replaced",      "repeated",       "established",
-    "unrouted", "not_ready",     "no_route",       "no_upstream",
-    "no_token", "unknown_token", "upstream_silent"
+    "placed",   "replaced",      "repeated",        "established",
+    "unrouted", "not_ready",     "no_route",        "no_upstream",
+    "no_token", "unknown_token", "upstream_silent", "evacuated"
   };
   return names[static_cast<std::size_t>(aReason)];
 }
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -1,5 +1,7 @@
 #include "sassafrasknot/flows/placement.hpp"
 
+#include "sassafrasknot/flows/evacuation.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -13,7 +15,8 @@
 bool
 AcceptsFlows(const UpstreamRecord& aRecord)
 {
-  return aRecord.mPresence != Presence::Removed && !aRecord.mUpstream.mDraining;
+  return aRecord.mPresence != Presence::Removed &&
+         !aRecord.mUpstream.mDraining && !aRecord.mEvacuated;
 }
 
 /// Load of the upstreams of one service that accept new flows.
@@ -145,19 +148,19 @@
   return candidates;
 }
 
-/// Adds random upstreams of other data centres that admit the flow.
+/// Adds aWanted random upstreams of other data centres that admit the flow.
 void
 AddRemoteCandidates(std::vector<UpstreamRecord*>& aCandidates,
                     const ServicePool& aPool,
                     const PlacementRequest& aRequest,
-                    const PlacementPolicy& aPolicy,
+                    std::size_t aWanted,
                     std::minstd_rand& aRandom,
                     state::TimePoint aNow)
 {
   // Several draws for each choice, since upstreams of an unreachable data
   // centre may be drawn, which do not admit the flow.
   constexpr std::size_t kDrawsPerChoice = 4;
-  std::size_t wanted = aPolicy.mRemoteChoices;
+  std::size_t wanted = aWanted;
   auto draws = aPool.mRemote.empty() ? 0 : wanted * kDrawsPerChoice;
   for (; wanted > 0 && draws > 0; --draws) {
     auto* record = aPool.mRemote[aRandom() % aPool.mRemote.size()];
@@ -185,6 +188,29 @@
   });
 }
 
+/// Returns upstreams to compare for an instance whose subset is in an evacuated
+/// data centre: random ones of one other data centre.
+std::vector<UpstreamRecord*>
+SpreadCandidates(const ServicePool& aPool,
+                 const PlacementRequest& aRequest,
+                 const PlacementPolicy& aPolicy,
+                 std::minstd_rand& aRandom,
+                 state::TimePoint aNow)
+{
+  std::vector<UpstreamRecord*> candidates;
+  AddRemoteCandidates(
+    candidates, aPool, aRequest, aPolicy.mSpreadChoices, aRandom, aNow);
+  if (candidates.empty()) {
+    candidates = PreferredCandidates(aPool.mRemote, aRequest, aNow);
+    std::ranges::shuffle(candidates, aRandom);
+    candidates.resize(std::min(candidates.size(), aPolicy.mSpreadChoices));
+  }
+  if (!candidates.empty()) {
+    KeepOneDataCentre(candidates, aRandom);
+  }
+  return candidates;
+}
+
 /// Returns the upstreams to compare, in random order, so that the first of
 /// equal cost is a random one.
 std::vector<UpstreamRecord*>
@@ -199,6 +225,9 @@
     std::ranges::shuffle(candidates, aRandom);
     return candidates;
   }
+  if (aPool.mSpreadsRemotely) {
+    return SpreadCandidates(aPool, aRequest, aPolicy, aRandom, aNow);
+  }
   auto candidates = PreferredCandidates(aPool.mLocalCandidates, aRequest, aNow);
   const bool hasAdmitting =
     !candidates.empty() &&
@@ -209,11 +238,28 @@
     LimitCandidates(candidates, aRequest, aPolicy);
     return candidates;
   }
-  AddRemoteCandidates(candidates, aPool, aRequest, aPolicy, aRandom, aNow);
+  AddRemoteCandidates(
+    candidates, aPool, aRequest, aPolicy.mRemoteChoices, aRandom, aNow);
   std::ranges::shuffle(candidates, aRandom);
   return candidates;
 }
 
+/// Returns the load to which that of single candidates is compared: of the
+/// subset, or of all upstreams if there is none. Flows that are spread over
+/// other data centres are compared within their candidates, so that the work
+/// per flow does not grow with the number of upstreams.
+ServiceLoad
+LoadOfService(const ServicePool& aPool,
+              std::span<UpstreamRecord* const> aCandidates)
+{
+  if (aPool.mSpreadsRemotely) {
+    return SumLoad(aCandidates);
+  }
+  const auto load =
+    SumLoad(aPool.mIsSubset ? aPool.mLocalCandidates : aPool.mAll);
+  return load.mSlots == 0 ? SumLoad(aPool.mAll) : load;
+}
+
 } // namespace
 
 double
@@ -243,13 +289,11 @@
                std::minstd_rand& aRandom,
                state::TimePoint aNow)
 {
-  auto service = SumLoad(aPool.mIsSubset ? aPool.mLocalCandidates : aPool.mAll);
-  if (service.mSlots == 0) {
-    service = SumLoad(aPool.mAll);
-  }
+  const auto candidates = Candidates(aPool, aRequest, aPolicy, aRandom, aNow);
+  const auto service = LoadOfService(aPool, candidates);
   UpstreamRecord* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
-  for (auto* record : Candidates(aPool, aRequest, aPolicy, aRandom, aNow)) {
+  for (auto* record : candidates) {
     const double cost = Cost(*record, service, aRequest, aPolicy, aNow);
     if (cost < bestCost) {
       best = record;
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -40,11 +40,19 @@
     return nullptr;
   }
   const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
-  return ChooseUpstream(found->second,
-                        { length, aRouter.mSettings.mDataCentre, aAvoid },
-                        aRouter.mSettings.mPolicy,
-                        aRouter.mRandom,
-                        aNow);
+  const auto& pool = found->second;
+  auto* chosen =
+    ChooseUpstream(pool,
+                   { length, aRouter.mSettings.mDataCentre, aAvoid },
+                   aRouter.mSettings.mPolicy,
+                   aRouter.mRandom,
+                   aNow);
+  if (chosen == nullptr) {
+    for (const auto& dataCentre : pool.mEvacuated) {
+      ++aRouter.mEvacuationRefusals[dataCentre];
+    }
+  }
+  return chosen;
 }
 
 /// Places a flow on an upstream and replaces the flow's entry.
@@ -162,6 +170,13 @@
   const bool isAnswerOverdue =
     !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
   if (record != nullptr && !isAnswerOverdue) {
+    if (record->mEvacuated && !entry.mEstablished) {
+      // The upstream must not accept the flow any more, but may have answered
+      // the first packet.
+      return {
+        PacketAction::Discard, Reason::Evacuated, state::Verdict::NotRun, record
+      };
+    }
     return { PacketAction::Forward,
              Reason::Retransmitted,
              state::Verdict::NotRun,
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -1,5 +1,7 @@
 #include "sassafrasknot/flows/upstream_table.hpp"
 
+#include "sassafrasknot/flows/evacuation.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <unordered_set>
@@ -77,6 +79,7 @@
     }
     ++it;
   }
+  ApplyEvacuations(aTable, aDirectory.mEvacuations);
 }
 
 void
@@ -90,7 +93,14 @@
       auto& pool = aTable.mByService[record.mUpstream.mService];
       pool.mAll.push_back(&record);
       const bool isLocal = record.mUpstream.mDataCentre == aDataCentre;
-      (isLocal ? pool.mLocalCandidates : pool.mRemote).push_back(&record);
+      if (isLocal) {
+        pool.mLocalCandidates.push_back(&record);
+      } else if (!record.mEvacuated) {
+        pool.mRemote.push_back(&record);
+      }
+      if (record.mEvacuated) {
+        AddEvacuated(pool, record.mUpstream.mDataCentre);
+      }
     }
   }
   if (!UsesSubsetting(aPosition.mCount)) {
@@ -98,6 +108,8 @@
   }
   for (auto& [service, pool] : aTable.mByService) {
     pool.mIsSubset = true;
+    pool.mSpreadsRemotely =
+      std::ranges::find(pool.mEvacuated, aDataCentre) != pool.mEvacuated.end();
     // Tokens are hashes of ids, so that the order is the same on all instances.
     std::ranges::sort(pool.mLocalCandidates, {}, &UpstreamRecord::mToken);
     const auto all = std::exchange(pool.mLocalCandidates, {});
@@ -146,7 +158,8 @@
     1.0, std::chrono::duration<double>(aElapsed) / kLoadAverageTimeConstant);
   for (auto& [service, pool] : aTable.mByService) {
     // Placement reads the averages of these upstreams only.
-    for (auto* record : pool.mIsSubset ? pool.mLocalCandidates : pool.mAll) {
+    const bool readsAll = !pool.mIsSubset || pool.mSpreadsRemotely;
+    for (auto* record : readsAll ? pool.mAll : pool.mLocalCandidates) {
       const double activeRequests =
         record->mOwnLoad.mActiveRequests + record->mPeerLoad.mActiveRequests;
       record->mAverageActiveRequests +=
