Admit uploads by the expected queue of the instance's own link

Cause: at 10 Mbit/s the packets of feeds queue behind those of uploads, and callers' retransmissions after 200 ms lengthen the queue further.

Change: an opening packet of kind upload is discarded without an answer while the open uploads' expected bytes in the queue exceed 50 ms, and reset as not run at the caller's last retransmission if it was deferred here before. Sizes are learned by route. Downloads are not deferred, since their data do not pass through the instance.

--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_FLOW_ROUTER_HPP
 #define SASSAFRASKNOT_FLOWS_FLOW_ROUTER_HPP
 
+#include "sassafrasknot/flows/bulk_admission.hpp"
 #include "sassafrasknot/flows/flow_entry.hpp"
 #include "sassafrasknot/flows/link_monitor.hpp"
 #include "sassafrasknot/flows/packet.hpp"
@@ -49,10 +50,13 @@
   UnknownToken,  ///< The token's upstream is not known here.
   UpstreamUnresponsive, ///< The upstream is unresponsive; the caller may try
                         ///< again.
+  Deferred, ///< The link has no capacity for a new upload; the caller
+            ///< retransmits its opening packet.
+  LinkFull, ///< The same, at the caller's last retransmission.
 };
 
 /// @brief Number of reasons.
-constexpr std::size_t kReasonCount = 11;
+constexpr std::size_t kReasonCount = 13;
 
 /// @brief Returns the name of a reason as it stands in logs and metrics.
 /// @param aReason reason of a decision
@@ -151,6 +155,8 @@
   state::TimePoint mLinkVerifiedAt;
   /// Delays on this instance's own link.
   LinkMonitor mLink;
+  /// Uploads on this instance's own link.
+  BulkAdmission mBulk;
   /// Packets that were forwarded before this time, the end of the last stall or
   /// congestion of this instance, are no evidence of a failure. What arrived
   /// during a stall is processed at once after it, so that a retransmission may
--- a/include/sassafrasknot/flows/link_monitor.hpp
+++ b/include/sassafrasknot/flows/link_monitor.hpp
@@ -25,6 +25,9 @@
   state::TimePoint mHandshakesAt;
 };
 
+/// Headers of a forwarded packet: UDP over IPv4, the verification tag and the
+/// packet's own header, in bytes.
+constexpr double kPacketHeaderBytes = 72;
 /// The link is congested if a packet would wait this long in its queue. Half of
 /// the rest of kAnswerTimeout: the queue towards this instance may be as long.
 constexpr std::chrono::milliseconds kCongestedBacklog{ 50 };
@@ -63,6 +66,13 @@
                 state::Duration aDuration,
                 state::TimePoint aNow);
 
+/// @brief Returns whether many of the latest handshakes were slow.
+/// @param aMonitor the monitor
+/// @param aNow current time on the steady clock
+/// @return whether their share is above kMaxSlowHandshakeShare
+bool
+HasSlowHandshakes(const LinkMonitor& aMonitor, state::TimePoint aNow);
+
 /// @brief Returns whether packets are delayed on this instance's own link.
 /// @param aMonitor the monitor
 /// @param aNow current time on the steady clock
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -160,6 +160,26 @@
   }
 }
 
+/// Records what a packet of an upload shows about its load on this instance's
+/// own link. Retransmitted data do not start an upload: they may follow the
+/// answer that has ended it.
+void
+RecordUpload(FlowRouter& aRouter,
+             const FlowEntry& aEntry,
+             const CallerPacket& aPacket,
+             const PacketFindings& aFindings,
+             state::TimePoint aNow)
+{
+  if (aFindings.mAnswersRequest) {
+    RecordBulkAnswer(aRouter.mBulk, aPacket.mFlow, aNow);
+  }
+  if (aPacket.mPayloadBytes > 0 &&
+      (!aFindings.mRetransmitted ||
+       aRouter.mBulk.mFlows.contains(aPacket.mFlow))) {
+    RecordBulkData(aRouter.mBulk, aPacket, aEntry.mNextSequence, aNow);
+  }
+}
+
 /// Decides on a packet of an established flow and records what it shows. The
 /// packet goes to the upstream that its token names. Reset instead are flows
 /// whose route was dropped, and idempotent flows that retransmit to a reported
@@ -199,7 +219,11 @@
                      requestsBefore,
                      aPacket.mKind == state::SegmentKind::Finish);
   }
+  if (NeedsAdmission(entry.mKind) && aRouter.mLink.mBytesPerSecond > 0) {
+    RecordUpload(aRouter, entry, aPacket, findings, aNow);
+  }
   if (endsFlow) {
+    RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
     entry.mRequestActive = false;
     entry.mCountedInLoad = false;
   }
@@ -241,9 +265,10 @@
 ToString(Reason aReason)
 {
   constexpr std::array<std::string_view, kReasonCount> names{
-    "placed",   "replaced",      "repeated",       "established",
-    "unrouted", "not_ready",     "no_route",       "no_upstream",
-    "no_token", "unknown_token", "upstream_silent"
+    "placed",   "replaced",      "repeated",        "established",
+    "unrouted", "not_ready",     "no_route",        "no_upstream",
+    "no_token", "unknown_token", "upstream_silent", "deferred",
+    "link_full"
   };
   return names[static_cast<std::size_t>(aReason)];
 }
@@ -268,6 +293,9 @@
     std::erase_if(aRouter.mFlowLengths, [&](const auto& aItem) {
       return !configuration->mRoutes.contains(aItem.first);
     });
+    std::erase_if(aRouter.mBulk.mSizes, [&](const auto& aItem) {
+      return !configuration->mRoutes.contains(aItem.first);
+    });
   }
   UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
   BuildPools(
@@ -305,6 +333,10 @@
                     : OnEstablished(aRouter, aPacket, aNow);
   if (decision.mAction == PacketAction::Forward) {
     RecordForwarded(aRouter.mLink, aPacket.mPayloadBytes, aNow);
+    const auto* route = FindRoute(aRouter, aPacket.mFlow.mService);
+    RecordLinkBytes(aRouter.mBulk,
+                    aPacket.mPayloadBytes,
+                    route != nullptr && NeedsAdmission(route->mKind));
   }
   return decision;
 }
@@ -318,6 +350,7 @@
   }
   UpdateLoadAverages(aRouter.mUpstreams, aNow - aRouter.mLastTick);
   DecayOpenOutcomes(aRouter.mOpens, aNow - aRouter.mLastTick);
+  UpdateBulkAdmission(aRouter.mBulk, aNow - aRouter.mLastTick, aNow);
   aRouter.mLastTick = aNow;
   const auto& configuration =
     aRouter.mDirectory ? aRouter.mDirectory->mConfiguration : nullptr;
--- a/src/sassafrasknot/flows/link_monitor.cpp
+++ b/src/sassafrasknot/flows/link_monitor.cpp
@@ -12,9 +12,6 @@
 /// Share of the link that packets to upstreams can use. The rest carries
 /// messages between instances and the store's answers.
 constexpr double kUsableShare = 0.9;
-/// Headers of a forwarded packet: UDP over IPv4, the verification tag and the
-/// packet's own header.
-constexpr double kHeaderBytes = 72;
 
 /// Returns the bytes that still wait at a time.
 double
@@ -52,7 +49,7 @@
     return;
   }
   aMonitor.mBacklogBytes =
-    BacklogAt(aMonitor, aNow) + kHeaderBytes + aPayloadBytes;
+    BacklogAt(aMonitor, aNow) + kPacketHeaderBytes + aPayloadBytes;
   aMonitor.mBacklogAt = aNow;
 }
 
@@ -69,6 +66,14 @@
                               : aMonitor.mFastHandshakes) += 1;
 }
 
+bool
+HasSlowHandshakes(const LinkMonitor& aMonitor, state::TimePoint aNow)
+{
+  const double handshakes = aMonitor.mSlowHandshakes + aMonitor.mFastHandshakes;
+  return aMonitor.mSlowHandshakes * DecayFactor(aMonitor, aNow) > 0.5 &&
+         aMonitor.mSlowHandshakes > kMaxSlowHandshakeShare * handshakes;
+}
+
 bool
 IsCongested(const LinkMonitor& aMonitor, state::TimePoint aNow)
 {
@@ -76,11 +81,7 @@
     aMonitor.mBytesPerSecond > 0 &&
     BacklogAt(aMonitor, aNow) >
       Seconds(kCongestedBacklog).count() * aMonitor.mBytesPerSecond;
-  const double handshakes = aMonitor.mSlowHandshakes + aMonitor.mFastHandshakes;
-  const bool hasSlowHandshakes =
-    aMonitor.mSlowHandshakes * DecayFactor(aMonitor, aNow) > 0.5 &&
-    aMonitor.mSlowHandshakes > kMaxSlowHandshakeShare * handshakes;
-  return hasBacklog || hasSlowHandshakes;
+  return hasBacklog || HasSlowHandshakes(aMonitor, aNow);
 }
 
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/flows/router_liveness.hpp"
 
+#include <optional>
 #include <string>
 
 namespace sassafrasknot::flows {
@@ -71,6 +72,32 @@
   return { PacketAction::Forward, aReason, state::Verdict::NotRun, &aRecord };
 }
 
+/// Returns the decision on an opening packet of a new upload for which this
+/// instance's own link has no capacity, or nothing if the flow is admitted. The
+/// flow gets no entry, so that it counts neither as an unanswered open nor as
+/// load, and its next opening packet is decided on anew.
+std::optional<Decision>
+RefuseWithoutCapacity(FlowRouter& aRouter,
+                      const CallerPacket& aPacket,
+                      const Route& aRoute,
+                      state::TimePoint aNow)
+{
+  if (!NeedsAdmission(aRoute.mKind)) {
+    return std::nullopt;
+  }
+  switch (AdmitBulkFlow(aRouter.mBulk, aRouter.mLink, aPacket, aNow)) {
+    case BulkVerdict::Admit:
+      return std::nullopt;
+    case BulkVerdict::Defer:
+      return MakeRefusal(
+        PacketAction::Discard, Reason::Deferred, state::Verdict::NotRun);
+    case BulkVerdict::Refuse:
+      break;
+  }
+  return MakeRefusal(
+    PacketAction::Reset, Reason::LinkFull, state::Verdict::NotRun);
+}
+
 /// Chooses an upstream for a new or reassigned flow and replaces the flow's
 /// entry. The upstream aAvoid is chosen only if there is no other.
 Decision
@@ -80,9 +107,15 @@
           UpstreamToken aAvoid,
           state::TimePoint aNow)
 {
+  if (aAvoid == kNoToken) {
+    if (auto refusal = RefuseWithoutCapacity(aRouter, aPacket, aRoute, aNow)) {
+      return *refusal;
+    }
+  }
   RemoveFlow(aRouter, aPacket.mFlow);
   auto* record = ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, aNow);
   if (record == nullptr) {
+    RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
     return MakeRefusal(
       PacketAction::Reset, Reason::NoUpstream, state::Verdict::NotRun);
   }
