Show deferred uploads in log, metrics and dump

Cause: operators cannot tell why an upload was deferred or refused. Change: flow_deferred (one flow in eight) and flow_link_full lines give the expected queue delay and the number of sending uploads; gauges open_uploads and upload_queue_seconds; one line of the dump per learned size.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -63,6 +63,11 @@
   std::atomic<std::uint64_t> mDetectedRecoveries{ 0 };
   /// Current number of flows in the router's table.
   std::atomic<std::uint64_t> mOpenFlows{ 0 };
+  /// Current number of uploads that are sending, and the delay that their
+  /// packets are expected to cause on this instance's own link, in
+  /// microseconds.
+  std::atomic<std::uint64_t> mOpenUploads{ 0 };
+  std::atomic<std::uint64_t> mUploadQueueMicros{ 0 };
   /// HTTP requests to the store; a read of several pages sends several.
   std::atomic<std::uint64_t> mStoreCalls{ 0 };
   std::atomic<std::uint64_t> mStoreFailures{ 0 };
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -3,6 +3,7 @@
 #include "sassafrasknot/edge/traffic_loop.hpp"
 
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace sassafrasknot::edge {
@@ -87,6 +88,14 @@
     }
     *text += "\n";
   }
+  for (const auto& [service, size] : aRouter.mBulk.mSizes) {
+    const auto age =
+      std::chrono::duration_cast<std::chrono::seconds>(aNow - size.mUpdated);
+    *text += "uploads service=" + ToString(service) +
+             " mean_bytes=" + std::to_string(std::llround(size.mMeanBytes)) +
+             " samples=" + std::to_string(size.mSamples) +
+             " age_s=" + std::to_string(age.count()) + "\n";
+  }
   return text;
 }
 
@@ -116,6 +125,13 @@
   if (const auto* previous = aDecision.mPreviousUpstream) {
     fields.emplace_back("left", previous->mUpstream.mId);
   }
+  if (aDecision.mReason == flows::Reason::Deferred ||
+      aDecision.mReason == flows::Reason::LinkFull) {
+    const auto delay = std::chrono::duration_cast<milliseconds>(
+      flows::ExpectedQueueDelay(mRouter.mBulk, mRouter.mLink));
+    fields.emplace_back("queue_ms", std::to_string(delay.count()));
+    fields.emplace_back("uploads", std::to_string(mRouter.mBulk.mSendingFlows));
+  }
   mLog->Write("flow_" + std::string(ToString(aDecision.mReason)), fields);
 }
 
--- a/src/sassafrasknot/edge/traffic_log.hpp
+++ b/src/sassafrasknot/edge/traffic_log.hpp
@@ -15,7 +15,8 @@
 FormatFlow(const state::FlowKey& aFlow);
 
 /// Formats one line of the dump per upstream, with its loads and the state of
-/// its failure detector.
+/// its failure detector, and one per route with the learned size of its
+/// uploads.
 std::shared_ptr<const std::string>
 FormatUpstreams(const flows::FlowRouter& aRouter, state::TimePoint aNow);
 
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -34,7 +34,8 @@
 /// Upper limit of packets that are held until the first directory, about 100 ms
 /// after the start. Further packets are dropped; callers retransmit them.
 constexpr std::size_t kMaxHeldPackets = 512;
-/// Of ordinary placements, those of one flow in this many are logged.
+/// Of ordinary placements and of deferrals, those of one flow in this many are
+/// logged.
 constexpr std::uint64_t kLogOneFlowIn = 8;
 
 bool
@@ -47,6 +48,7 @@
     case Reason::NotReady:
       return false;
     case Reason::Placed:
+    case Reason::Deferred:
       return state::Hash(aPacket.mFlow) % kLogOneFlowIn == 0;
     default:
       return true;
@@ -209,6 +211,11 @@
   report.mOpenFlows = mRouter.mFlows.size();
   report.mSinceLastPacket = aNow - mLastPacket;
   mMetrics->mOpenFlows = report.mOpenFlows;
+  mMetrics->mOpenUploads = mRouter.mBulk.mSendingFlows;
+  mMetrics->mUploadQueueMicros = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(
+      flows::ExpectedQueueDelay(mRouter.mBulk, mRouter.mLink))
+      .count());
   mReportHandler(std::move(report));
 }
 
