Give all routes a known size in the test of kinds that are not deferred

Cause: the test passed even if downloads needed admission, since a route of unknown size is admitted in any case. Change: each route has a known size. Result: the test fails if NeedsAdmission includes Download, and passes otherwise (86 tests of sassafrasknot_flows_test pass).

--- a/src/sassafrasknot/flows/bulk_admission_test.cpp
+++ b/src/sassafrasknot/flows/bulk_admission_test.cpp
@@ -179,6 +179,10 @@
   fixture.OpenUploads(20, milliseconds(100));
   for (const auto port :
        { kFeedPort, kRequestPort, AdmissionFixture::kDownloadPort }) {
+    // A route whose size is not known is admitted in any case.
+    fixture.mRouter.mBulk.mSizes[{ kServiceAddress, port }] = {
+      kUploadBytes, 1, At(milliseconds(0))
+    };
     EXPECT_EQ(fixture.Open(400, port, milliseconds(101)).mAction,
               PacketAction::Forward);
   }
