--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_FLOW_ROUTER_HPP
 #define SASSAFRASKNOT_FLOWS_FLOW_ROUTER_HPP
 
+#include "sassafrasknot/flows/bulk_admission.hpp"
 #include "sassafrasknot/flows/flow_entry.hpp"
 #include "sassafrasknot/flows/link_monitor.hpp"
 #include "sassafrasknot/flows/packet.hpp"
@@ -51,10 +52,13 @@
                         ///< again.
   Evacuated, ///< The upstream's data centre is evacuated, and the flow waits
              ///< until its answer is overdue.
+  Deferred,  ///< The link has no capacity for a new upload; the caller
+             ///< retransmits its opening packet.
+  LinkFull,  ///< The same, at the caller's last retransmission.
 };
 
 /// @brief Number of reasons.
-constexpr std::size_t kReasonCount = 12;
+constexpr std::size_t kReasonCount = 14;
 
 /// @brief Returns the name of a reason as it stands in logs and metrics.
 /// @param aReason reason of a decision
@@ -156,6 +160,8 @@
   /// New flows that were refused although upstreams of an evacuated data centre
   /// serve them, by that data centre, since the start.
   std::map<state::DataCentreId, std::uint64_t> mEvacuationRefusals;
+  /// Uploads on this instance's own link.
+  BulkAdmission mBulk;
   /// Packets that were forwarded before this time, the end of the last stall or
   /// congestion of this instance, are no evidence of a failure. What arrived
   /// during a stall is processed at once after it, so that a retransmission may
