Limit new flows at cold upstreams

Cause: after a start, all instances place flows on a cold upstream by load alone, so that together they can send it more requests per second than it can handle (warmup_per_s of its service). Change: services may have a limit (warmup_s, warmup_per_s under backends; cold_over, cold_slack under bounds of the settings). One instance of the fleet, the first in rendezvous order among the members that had contact recently, places flows on a cold upstream, at a third of the limit at most. It must be in contact with most of the fleet, must have been the placing instance for 10 s, and its view must be younger than 1 s. Without a limit nothing changes.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -63,6 +63,12 @@
   std::atomic<std::uint64_t> mDetectedRecoveries{ 0 };
   /// Current number of flows in the router's table.
   std::atomic<std::uint64_t> mOpenFlows{ 0 };
+  /// New flows that were placed on cold upstreams with a limit; for which such
+  /// an upstream of this instance had no budget left; and which were refused
+  /// while such upstreams did not admit them.
+  std::atomic<std::uint64_t> mColdAdmissions{ 0 };
+  std::atomic<std::uint64_t> mColdBudgetUsedUp{ 0 };
+  std::atomic<std::uint64_t> mColdRefusals{ 0 };
   /// HTTP requests to the store; a read of several pages sends several.
   std::atomic<std::uint64_t> mStoreCalls{ 0 };
   std::atomic<std::uint64_t> mStoreFailures{ 0 };
@@ -70,6 +76,8 @@
   std::atomic<std::uint64_t> mMalformedRecords{ 0 };
   /// Routes with a defect per RouteDefect, over all received configurations.
   std::array<std::atomic<std::uint64_t>, kRouteDefectCount> mDefectiveRoutes{};
+  /// Malformed limits of cold upstreams, over all received configurations.
+  std::atomic<std::uint64_t> mDefectiveLimits{ 0 };
   /// Datagrams received on the fleet endpoint, malformed ones included.
   std::atomic<std::uint64_t> mFleetMessages{ 0 };
   std::atomic<std::uint64_t> mMalformedMessages{ 0 };
--- a/include/sassafrasknot/edge/platform_formats.hpp
+++ b/include/sassafrasknot/edge/platform_formats.hpp
@@ -84,6 +84,9 @@
 {
   std::shared_ptr<const flows::Configuration> mConfiguration;
   std::vector<DefectiveRoute> mDefectiveRoutes;
+  /// Location and cause of each malformed limit of cold upstreams. Such a limit
+  /// has no effect.
+  std::vector<std::string> mDefectiveLimits;
 };
 
 /// @brief Content of a record: a configuration, an upstream, or nothing that an
--- a/include/sassafrasknot/edge/settings.hpp
+++ b/include/sassafrasknot/edge/settings.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_EDGE_SETTINGS_HPP
 #define SASSAFRASKNOT_EDGE_SETTINGS_HPP
 
+#include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/state/endpoint.hpp"
 #include "sassafrasknot/state/identifiers.hpp"
 
@@ -37,6 +38,8 @@
   double mCpuShare = 1;
   /// Bandwidth of the instance's link, in Mbit/s.
   double mLinkMbps = 1000;
+  /// Tolerance of the limits of cold upstreams.
+  flows::ColdBounds mColdBounds;
   /// Upper limit of a planned stop; the process then ends in any case.
   std::chrono::milliseconds mMaxStopTime{ 5000 };
   /// Upper limit of a response body of the store, or of another instance that
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -32,6 +32,8 @@
   std::uint32_t mRandomSeed = 1;
   /// Bandwidth of this instance's link, in Mbit/s; 0 if not known.
   double mLinkMbps = 0;
+  /// Tolerance of the limits of cold upstreams.
+  ColdBounds mColdBounds;
 };
 
 /// @brief Why a packet was handled as it was.
@@ -151,6 +153,8 @@
   state::TimePoint mLinkVerifiedAt;
   /// Delays on this instance's own link.
   LinkMonitor mLink;
+  /// View of the fleet, by which one instance places flows on a cold upstream.
+  ColdPlacement mColdPlacement;
   /// Packets that were forwarded before this time, the end of the last stall or
   /// congestion of this instance, are no evidence of a failure. What arrived
   /// during a stall is processed at once after it, so that a retransmission may
@@ -183,8 +187,19 @@
 /// which determines its subset of upstreams.
 /// @param aRouter the router
 /// @param aPosition the position
+/// @param aNow current time on the steady clock
+void
+OnPosition(FlowRouter& aRouter,
+           const InstancePosition& aPosition,
+           state::TimePoint aNow);
+
+/// @brief Applies a new view of the fleet, which determines the cold upstreams
+/// on which this instance places flows.
+/// @param aRouter the router
+/// @param aView the view
+/// @param aNow current time on the steady clock
 void
-OnPosition(FlowRouter& aRouter, const InstancePosition& aPosition);
+OnFleetView(FlowRouter& aRouter, FleetView aView, state::TimePoint aNow);
 
 /// @brief Decides on a caller's packet and records what it shows.
 /// @param aRouter the router
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -24,6 +24,9 @@
   double mRemoteRequestPenalty = 0.5;
   /// Penalty of an upstream that is still slow after its start.
   double mWarmUpPenalty = 0.3;
+  /// Penalty of an upstream with a limit whose warm-up has just ended, until
+  /// this instance is due to use it; see IsJoining.
+  double mJoiningPenalty = 2.0;
   /// Penalty of an upstream whose entry has expired.
   double mExpiredPenalty = 8.0;
   /// Difference in cost between an upstream without feeds and one with its fair
@@ -62,7 +65,8 @@
 /// and due no trial are considered only if there is no other, and
 /// aRequest.mAvoid comes last. With subsetting, this instance's subset and a
 /// few random upstreams of other data centres are compared, or a few random
-/// ones of all data centres if no upstream of the subset admits the flow.
+/// ones of all data centres if no upstream of the subset admits the flow. A
+/// cold upstream whose limit does not admit the flow is never chosen.
 /// @param aPool the service's upstreams
 /// @param aRequest the flow
 /// @param aPolicy penalties, weights and numbers of random choices
--- a/include/sassafrasknot/flows/routing.hpp
+++ b/include/sassafrasknot/flows/routing.hpp
@@ -60,6 +60,27 @@
   auto operator<=>(const Route&) const = default;
 };
 
+/// @brief Limit of the requests that a cold upstream of a service can handle.
+struct WarmUpLimit
+{
+  /// Length of the warm-up after a start.
+  std::chrono::milliseconds mWarmUp{ 0 };
+  /// Requests per second; 0 if there is no limit.
+  double mRequestsPerSecond = 0;
+
+  auto operator<=>(const WarmUpLimit&) const = default;
+};
+
+/// @brief Tolerance of warm-up limits: in any second, at most a service's limit
+/// times mFactor plus mAddend requests may arrive at one of its cold upstreams.
+struct ColdBounds
+{
+  double mFactor = 1.5;
+  double mAddend = 5;
+
+  auto operator<=>(const ColdBounds&) const = default;
+};
+
 /// @brief One version of the operators' configuration.
 struct Configuration
 {
@@ -67,6 +88,9 @@
   std::map<state::Endpoint, Route> mRoutes;
   /// Paths of the health checks by name of the service.
   std::map<std::string, std::string> mHealthPaths;
+  /// Limits of cold upstreams by name of the service; services without a limit
+  /// are absent.
+  std::map<std::string, WarmUpLimit, std::less<>> mWarmUpLimits;
   /// Idle flows may be discarded after this time.
   std::chrono::milliseconds mIdleTimeout{ 0 };
 };
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_UPSTREAM_TABLE_HPP
 #define SASSAFRASKNOT_FLOWS_UPSTREAM_TABLE_HPP
 
+#include "sassafrasknot/flows/cold_admission.hpp"
 #include "sassafrasknot/flows/failure_detector.hpp"
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/flows/subset.hpp"
@@ -47,6 +48,8 @@
   /// Mean utilisation (active requests per slot) of its data centre, if that
   /// reports no loads by upstream; otherwise 0.
   double mAssumedUtilisation = 0;
+  /// Limit of its flows while it is cold.
+  ColdAdmission mColdAdmission;
 };
 
 /// Time constant of the average of active requests: the length of some ten
@@ -63,6 +66,9 @@
   std::vector<UpstreamRecord*> mLocalCandidates;
   /// Upstreams of other data centres.
   std::vector<UpstreamRecord*> mRemote;
+  /// Cold upstreams of all data centres on which only this instance places
+  /// flows; see UpdateColdLimits.
+  std::vector<UpstreamRecord*> mColdPlaced;
   /// Whether mLocalCandidates is this instance's subset.
   bool mIsSubset = false;
 };
@@ -76,7 +82,7 @@
 
 /// @brief Applies a new directory. Upstreams that are no longer in it are kept
 /// as removed for longer than a flow may live, so that packets still reach
-/// them. BuildPools has to be called afterwards.
+/// them. BuildPools and UpdateColdLimits have to be called afterwards.
 /// @param aTable the table
 /// @param aDirectory directory that replaces the previous one
 /// @param aNow current time on the steady clock
--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -73,6 +73,13 @@
                   { "reason", message },
                   { "revision", aRevision } });
   }
+  for (const auto& message : aDecoded.mDefectiveLimits) {
+    Increment(mMetrics->mDefectiveLimits);
+    mLog->Write("warmup_limit_unreadable",
+                { { "version", std::to_string(configuration->mVersion) },
+                  { "reason", message },
+                  { "revision", aRevision } });
+  }
 }
 
 void
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -33,6 +33,9 @@
 /// platform's shortest bound on applying configurations (3 s), which come from
 /// the endpoint in the settings.
 constexpr milliseconds kSettingsCheckInterval{ 1000 };
+/// Interval at which the traffic thread receives a view of the fleet; well
+/// below flows::kMaxViewAge, after which a view is too old.
+constexpr milliseconds kFleetViewInterval{ 250 };
 /// Receive buffer for messages of other instances, in bytes.
 constexpr std::size_t kReceiveBufferBytes = std::size_t{ 256 } << 10U;
 /// Maximum size of a message of another instance, in bytes.
@@ -174,6 +177,11 @@
                             fleet::MeanUtilisations(mCore),
                             fleet::LocalPosition(mCore.mPeers, now) });
   }
+  if (now >= mNextFleetView) {
+    mNextFleetView = now + kFleetViewInterval;
+    mTraffic.SetFleetView(fleet::MakeFleetView(
+      mMemberMemory, mCore.mPeers, mCore.mSettings.mSeedEndpoints, now));
+  }
   if (auto unresponsive = std::exchange(mCore.mReportedUnresponsive, {});
       !unresponsive.empty()) {
     mTraffic.ApplyUnresponsiveReports(std::move(unresponsive));
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -5,6 +5,7 @@
 #include "sassafrasknot/edge/platform_formats.hpp"
 #include "sassafrasknot/edge/settings.hpp"
 #include "sassafrasknot/fleet/fleet_core.hpp"
+#include "sassafrasknot/fleet/fleet_view.hpp"
 #include "sassafrasknot/fleet/probe_schedule.hpp"
 #include "sassafrasknot/flows/directory_builder.hpp"
 #include "sassafrasknot/net/http_server.hpp"
@@ -109,6 +110,10 @@
   bool mStoreReachable = true;
   /// Loads of other instances arrived that the traffic thread does not have.
   bool mPeerLoadsChanged = false;
+  /// Members that count when this instance decides whether it may place flows
+  /// on cold upstreams, and next time at which it does.
+  fleet::MemberMemory mMemberMemory;
+  state::TimePoint mNextFleetView;
   fleet::ProbeSchedule mProbeSchedule;
   /// Start of the planned stop, if it has begun.
   std::optional<state::TimePoint> mStopStarted;
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -60,6 +60,11 @@
   auto text = std::make_shared<std::string>();
   for (const auto& [token, record] : aRouter.mUpstreams.mByToken) {
     const auto& detector = record.mFailureDetector;
+    const auto& cold = record.mColdAdmission;
+    const bool isColdPlaced = cold.mIsPlacing &&
+                              flows::IsColdAndLimited(record, aNow) &&
+                              aNow <= cold.mValidUntil;
+    const auto limitedRate = cold.mIsLimited ? cold.mRequestsPerSecond : 0;
     const net::LogFields fields{
       { "token", std::to_string(token) },
       { "service", record.mUpstream.mService },
@@ -68,6 +73,9 @@
       { "presence", std::string(ToText(record.mPresence)) },
       { "draining", YesOrNo(record.mUpstream.mDraining) },
       { "cold", YesOrNo(aNow < record.mWarmUpEnd) },
+      { "cold_placed_here", YesOrNo(isColdPlaced) },
+      { "cold_budget", std::to_string(limitedRate) },
+      { "cold_admitted", std::to_string(cold.mAdmittedFlows) },
       { "own_feeds", std::to_string(record.mOwnLoad.mFeeds) },
       { "own_at_work", std::to_string(record.mOwnLoad.mActiveRequests) },
       { "peers_feeds", std::to_string(record.mPeerLoad.mFeeds) },
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -67,7 +67,8 @@
       { mSettings.mDataCentre,
         {},
         static_cast<std::uint32_t>(state::HashBytes(mSettings.mInstance)),
-        mSettings.mLinkMbps }))
+        mSettings.mLinkMbps,
+        mSettings.mColdBounds }))
 {
 }
 
@@ -131,12 +132,20 @@
 TrafficLoop::SetPeerLoads(PeerLoadUpdate aUpdate)
 {
   boost::asio::post(mContext, [this, update = std::move(aUpdate)] {
-    flows::OnPosition(mRouter, update.mPosition);
+    flows::OnPosition(mRouter, update.mPosition, Clock::now());
     flows::SetPeerLoads(
       mRouter.mUpstreams, update.mLoads, update.mMeanUtilisations);
   });
 }
 
+void
+TrafficLoop::SetFleetView(flows::FleetView aView)
+{
+  boost::asio::post(mContext, [this, view = std::move(aView)]() mutable {
+    flows::OnFleetView(mRouter, std::move(view), Clock::now());
+  });
+}
+
 void
 TrafficLoop::ApplyUnresponsiveReports(std::set<flows::UpstreamToken> aTokens)
 {
@@ -209,6 +218,10 @@
   report.mOpenFlows = mRouter.mFlows.size();
   report.mSinceLastPacket = aNow - mLastPacket;
   mMetrics->mOpenFlows = report.mOpenFlows;
+  const auto& cold = mRouter.mColdPlacement.mCounters;
+  mMetrics->mColdAdmissions = cold.mAdmitted;
+  mMetrics->mColdBudgetUsedUp = cold.mBudgetUsedUp;
+  mMetrics->mColdRefusals = cold.mRefused;
   mReportHandler(std::move(report));
 }
 
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -89,6 +89,9 @@
   void ConfirmDirectory(state::TimePoint aConfirmedAt);
   /// Replaces the loads of other instances and this instance's position.
   void SetPeerLoads(PeerLoadUpdate aUpdate);
+  /// Replaces the view of the fleet, which determines the cold upstreams on
+  /// which this instance places flows.
+  void SetFleetView(flows::FleetView aView);
   /// Marks upstreams that other instances have found unresponsive.
   void ApplyUnresponsiveReports(std::set<flows::UpstreamToken> aTokens);
   /// Records that upstreams responded to probes, which this or another instance
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -62,6 +62,18 @@
   AddLoad(aRecord, aEntry, 1);
 }
 
+/// Applies the limits of cold upstreams after a change of the table or pools.
+void
+ApplyColdLimits(FlowRouter& aRouter, state::TimePoint aNow)
+{
+  UpdateColdLimits(aRouter.mColdPlacement,
+                   aRouter.mUpstreams,
+                   aRouter.mDirectory ? aRouter.mDirectory->mConfiguration.get()
+                                      : nullptr,
+                   aRouter.mSettings.mColdBounds,
+                   aNow);
+}
+
 /// Returns the entry of an established flow. If there is none, or if it names
 /// an upstream other than aRecord, it is made anew as that of a flow which
 /// another instance has placed on aRecord.
@@ -190,6 +202,11 @@
   }
   const auto requestsBefore = entry.mRequests;
   const auto findings = RecordPacket(entry, aPacket, aNow);
+  // The first request of a flow that was placed here is counted since then.
+  if (entry.mRequests > requestsBefore &&
+      (requestsBefore > 0 || !entry.mOpenedHere)) {
+    RecordColdRequest(*record, aNow);
+  }
   const bool endsFlow = aPacket.mKind == state::SegmentKind::Finish ||
                         aPacket.mKind == state::SegmentKind::Reset;
   if (route != nullptr) {
@@ -272,6 +289,7 @@
   UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
   BuildPools(
     aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aRouter.mPosition);
+  ApplyColdLimits(aRouter, aNow);
 }
 
 void
@@ -282,14 +300,24 @@
 }
 
 void
-OnPosition(FlowRouter& aRouter, const InstancePosition& aPosition)
+OnPosition(FlowRouter& aRouter,
+           const InstancePosition& aPosition,
+           state::TimePoint aNow)
 {
   if (aRouter.mPosition != aPosition) {
     aRouter.mPosition = aPosition;
     BuildPools(aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aPosition);
+    ApplyColdLimits(aRouter, aNow);
   }
 }
 
+void
+OnFleetView(FlowRouter& aRouter, FleetView aView, state::TimePoint aNow)
+{
+  UpdateFleetView(
+    aRouter.mColdPlacement, aRouter.mUpstreams, std::move(aView), aNow);
+}
+
 Decision
 OnPacket(FlowRouter& aRouter,
          const CallerPacket& aPacket,
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -93,6 +93,8 @@
   }
   if (aNow < aRecord.mWarmUpEnd) {
     cost += aPolicy.mWarmUpPenalty;
+  } else if (IsJoining(aRecord, aNow)) {
+    cost += aPolicy.mJoiningPenalty;
   }
   if (aRecord.mPresence == Presence::Expired) {
     cost += aPolicy.mExpiredPenalty;
@@ -130,7 +132,8 @@
   std::vector<UpstreamRecord*> candidates;
   auto best = Preference::Avoided;
   for (auto* record : aUpstreams) {
-    if (!AcceptsFlows(*record)) {
+    if (!AcceptsFlows(*record) ||
+        !AdmitsColdFlow(*record, aRequest.mLength, aNow)) {
       continue;
     }
     const auto preference = PreferenceOf(*record, aRequest, aNow);
@@ -145,6 +148,23 @@
   return candidates;
 }
 
+/// Adds the cold upstreams on which only this instance places flows, as far as
+/// they admit the flow. They may be outside of its subset.
+void
+AddColdCandidates(std::vector<UpstreamRecord*>& aCandidates,
+                  const ServicePool& aPool,
+                  const PlacementRequest& aRequest,
+                  state::TimePoint aNow)
+{
+  for (auto* record : PreferredCandidates(aPool.mColdPlaced, aRequest, aNow)) {
+    if (IsColdAndLimited(*record, aNow) &&
+        PreferenceOf(*record, aRequest, aNow) == Preference::Admitting &&
+        std::ranges::find(aCandidates, record) == aCandidates.end()) {
+      aCandidates.push_back(record);
+    }
+  }
+}
+
 /// Adds random upstreams of other data centres that admit the flow.
 void
 AddRemoteCandidates(std::vector<UpstreamRecord*>& aCandidates,
@@ -162,6 +182,7 @@
   for (; wanted > 0 && draws > 0; --draws) {
     auto* record = aPool.mRemote[aRandom() % aPool.mRemote.size()];
     if (AcceptsFlows(*record) &&
+        AdmitsColdFlow(*record, aRequest.mLength, aNow) &&
         PreferenceOf(*record, aRequest, aNow) == Preference::Admitting) {
       aCandidates.push_back(record);
       --wanted;
@@ -210,6 +231,7 @@
     return candidates;
   }
   AddRemoteCandidates(candidates, aPool, aRequest, aPolicy, aRandom, aNow);
+  AddColdCandidates(candidates, aPool, aRequest, aNow);
   std::ranges::shuffle(candidates, aRandom);
   return candidates;
 }
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/flows/router_liveness.hpp"
 
+#include <algorithm>
 #include <string>
 
 namespace sassafrasknot::flows {
@@ -26,6 +27,28 @@
   return aRoute.mServices.front().mService;
 }
 
+/// Counts what the limits of cold upstreams did to a new flow.
+/// @param aChosen upstream of the flow, or null if it is refused
+void
+CountColdOutcome(ColdCounters& aCounters,
+                 const ServicePool& aPool,
+                 const UpstreamRecord* aChosen,
+                 FlowLength aLength,
+                 state::TimePoint aNow)
+{
+  const auto isUsedUp = [&](const UpstreamRecord* aRecord) {
+    return !AdmitsColdFlow(*aRecord, aLength, aNow);
+  };
+  if (std::ranges::any_of(aPool.mColdPlaced, isUsedUp)) {
+    ++aCounters.mBudgetUsedUp;
+  }
+  if (aChosen == nullptr) {
+    aCounters.mRefused += std::ranges::any_of(aPool.mAll, isUsedUp) ? 1 : 0;
+  } else if (IsColdAndLimited(*aChosen, aNow)) {
+    ++aCounters.mAdmitted;
+  }
+}
+
 /// Chooses an upstream for a flow, or returns null if none accepts it.
 UpstreamRecord*
 ChooseForFlow(FlowRouter& aRouter,
@@ -40,11 +63,16 @@
     return nullptr;
   }
   const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
-  return ChooseUpstream(found->second,
-                        { length, aRouter.mSettings.mDataCentre, aAvoid },
-                        aRouter.mSettings.mPolicy,
-                        aRouter.mRandom,
-                        aNow);
+  const auto& pool = found->second;
+  auto* record =
+    ChooseUpstream(pool,
+                   { length, aRouter.mSettings.mDataCentre, aAvoid },
+                   aRouter.mSettings.mPolicy,
+                   aRouter.mRandom,
+                   aNow);
+  CountColdOutcome(
+    aRouter.mColdPlacement.mCounters, pool, record, length, aNow);
+  return record;
 }
 
 /// Places a flow on an upstream and replaces the flow's entry.
@@ -57,6 +85,7 @@
         state::TimePoint aNow)
 {
   RecordTrial(aRecord.mFailureDetector, aNow);
+  RecordColdFlow(aRecord, aNow);
   auto& entry = aRouter.mFlows[aPacket.mFlow];
   entry.mToken = aRecord.mToken;
   entry.mKind = aRoute.mKind;
