--- a/include/sassafrasknot/flows/cold_admission.hpp
+++ b/include/sassafrasknot/flows/cold_admission.hpp
@@ -67,6 +67,8 @@
   state::TimePoint mValidUntil;
   /// Time of the next admission at the earliest; zero before the first check.
   state::TimePoint mNextAdmission;
+  /// Time up to which requests of open feeds have used their reserve.
+  state::TimePoint mReservedUntil;
   /// Position of this instance within kJoinPeriod, from 0 to 1.
   double mJoinFraction = 0;
   /// Flows that this instance has placed there while it was cold.
@@ -137,8 +139,9 @@
                FlowLength aLength,
                state::TimePoint aNow);
 
-/// @brief Records a new flow, or a further request of an open one, at an
-/// upstream. It has no effect unless the upstream is cold and limited.
+/// @brief Records a further request of an open flow at an upstream. It uses the
+/// budget of new flows unless it is covered by the reserve of feeds, and has no
+/// effect unless the upstream is cold and limited.
 /// @param aRecord the upstream
 /// @param aNow current time on the steady clock
 void
--- a/src/sassafrasknot/flows/cold_admission.cpp
+++ b/src/sassafrasknot/flows/cold_admission.cpp
@@ -73,6 +73,35 @@
          kIntervalMargin;
 }
 
+/// Returns whether a request of an open feed is covered by what is reserved for
+/// all feeds of the upstream, so that it does not use the budget of new flows.
+bool
+TakeReserved(UpstreamRecord& aRecord, state::TimePoint aNow)
+{
+  constexpr std::chrono::milliseconds kBurst{ 250 };
+  const double reserved = FeedsOf(aRecord) * kRequestsPerFeed;
+  if (reserved == 0) {
+    return false;
+  }
+  auto& used = aRecord.mColdAdmission.mReservedUntil;
+  const auto next = std::max(used, aNow) + IntervalOf(reserved);
+  if (next > aNow + kBurst) {
+    return false;
+  }
+  used = next;
+  return true;
+}
+
+/// Delays the next admission by the interval of the current rate.
+void
+UseBudget(UpstreamRecord& aRecord, state::TimePoint aNow)
+{
+  const double rate =
+    CurrentRate(aRecord, aNow) - FeedsOf(aRecord) * kRequestsPerFeed;
+  auto& next = aRecord.mColdAdmission.mNextAdmission;
+  next = std::max(next, aNow) + IntervalOf(rate);
+}
+
 /// Determines whether this instance is the placing one, and its position in
 /// the join period.
 /// @param aSince since when it is, unless it was before
@@ -221,14 +250,9 @@
 void
 RecordColdRequest(UpstreamRecord& aRecord, state::TimePoint aNow)
 {
-  if (!IsColdAndLimited(aRecord, aNow)) {
-    return;
+  if (IsColdAndLimited(aRecord, aNow) && !TakeReserved(aRecord, aNow)) {
+    UseBudget(aRecord, aNow);
   }
-  auto& admission = aRecord.mColdAdmission;
-  const double rate =
-    CurrentRate(aRecord, aNow) - FeedsOf(aRecord) * kRequestsPerFeed;
-  admission.mNextAdmission =
-    std::max(admission.mNextAdmission, aNow) + IntervalOf(rate);
 }
 
 void
@@ -236,7 +260,7 @@
 {
   if (IsColdAndLimited(aRecord, aNow)) {
     ++aRecord.mColdAdmission.mAdmittedFlows;
-    RecordColdRequest(aRecord, aNow);
+    UseBudget(aRecord, aNow);
   }
 }
 
