Describe and show the limit of cold upstreams

Cause: operators could not see which instance places flows on a cold upstream, and nothing treated upstreams as cold after an evacuation. Change: the dump shows whether an instance may place flows on cold upstreams; the view of the fleet is made only while a service has a limit.

--- a/include/sassafrasknot/flows/cold_admission.hpp
+++ b/include/sassafrasknot/flows/cold_admission.hpp
@@ -3,6 +3,7 @@
 
 #include "sassafrasknot/flows/flow_length.hpp"
 #include "sassafrasknot/flows/routing.hpp"
+#include "sassafrasknot/state/identifiers.hpp"
 #include "sassafrasknot/state/time.hpp"
 
 #include <chrono>
@@ -121,6 +122,18 @@
                 FleetView aView,
                 state::TimePoint aNow);
 
+/// @brief Treats the upstreams of a data centre as cold from now on, for the
+/// length of their service's warm-up. To be called when an evacuation ends,
+/// since they may have become cold without traffic. Upstreams without a limit
+/// are not affected.
+/// @param aTable upstreams
+/// @param aDataCentre data centre that was evacuated
+/// @param aNow current time on the steady clock
+void
+RestartWarmUps(UpstreamTable& aTable,
+               const state::DataCentreId& aDataCentre,
+               state::TimePoint aNow);
+
 /// @brief Returns whether an upstream is cold and its service has a limit.
 /// @param aRecord the upstream
 /// @param aNow current time on the steady clock
--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -126,6 +126,10 @@
     "place " + std::to_string(position.mIndex) + " of " +
     std::to_string(position.mCount) +
     (flows::UsesSubsetting(position.mCount) ? ", upstreams divided\n" : "\n");
+  if (const auto& configuration = mDirectoryBuilder.mConfiguration;
+      configuration && !configuration->mWarmUpLimits.empty()) {
+    text += std::string("cold_placing ") + (mMayPlaceOnCold ? "yes\n" : "no\n");
+  }
   for (const auto& [endpoint, peer] : mCore.mPeers.mPeers) {
     text += "peer " + ToString(endpoint) + " " +
             peer.mMember.mDataCentre.mValue +
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -177,11 +177,7 @@
                             fleet::MeanUtilisations(mCore),
                             fleet::LocalPosition(mCore.mPeers, now) });
   }
-  if (now >= mNextFleetView) {
-    mNextFleetView = now + kFleetViewInterval;
-    mTraffic.SetFleetView(fleet::MakeFleetView(
-      mMemberMemory, mCore.mPeers, mCore.mSettings.mSeedEndpoints, now));
-  }
+  SendFleetView(now);
   if (auto unresponsive = std::exchange(mCore.mReportedUnresponsive, {});
       !unresponsive.empty()) {
     mTraffic.ApplyUnresponsiveReports(std::move(unresponsive));
@@ -206,6 +202,21 @@
   mLog->Flush();
 }
 
+void
+ControlLoop::SendFleetView(state::TimePoint aNow)
+{
+  const auto& configuration = mDirectoryBuilder.mConfiguration;
+  if (aNow < mNextFleetView || !configuration ||
+      configuration->mWarmUpLimits.empty()) {
+    return;
+  }
+  mNextFleetView = aNow + kFleetViewInterval;
+  auto view = fleet::MakeFleetView(
+    mMemberMemory, mCore.mPeers, mCore.mSettings.mSeedEndpoints, aNow);
+  mMayPlaceOnCold = view.mMayPlace;
+  mTraffic.SetFleetView(std::move(view));
+}
+
 void
 ControlLoop::WaitForSignal()
 {
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -85,6 +85,9 @@
   /// Records whether the last call to the store succeeded, and logs changes. A
   /// response that the history is compacted counts as success.
   void UpdateStoreReachability(bool aReachable, const std::string& aReason);
+  /// Sends the traffic thread the view of the fleet that the limits of cold
+  /// upstreams depend on, if it is due and any service has a limit.
+  void SendFleetView(state::TimePoint aNow);
   void OnFleetDatagram(std::span<std::uint8_t> aDatagram);
   void OnTrafficReport(TrafficReport aReport);
   /// Returns whether the platform should send packets to this instance.
@@ -114,6 +117,8 @@
   /// on cold upstreams, and next time at which it does.
   fleet::MemberMemory mMemberMemory;
   state::TimePoint mNextFleetView;
+  /// Whether the last view permitted it; for the dump.
+  bool mMayPlaceOnCold = false;
   fleet::ProbeSchedule mProbeSchedule;
   /// Start of the planned stop, if it has begun.
   std::optional<state::TimePoint> mStopStarted;
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -72,41 +72,10 @@
        << kPrefix << aName << "_count " << count << '\n';
 }
 
-} // namespace
-
-void
-Observe(LatencyHistogram& aHistogram, state::Duration aLatency)
-{
-  const auto bound = std::ranges::lower_bound(kLatencyBounds, aLatency);
-  Increment(
-    aHistogram
-      .mBuckets[static_cast<std::size_t>(bound - kLatencyBounds.begin())]);
-  const auto micros =
-    std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count();
-  aHistogram.mSumMicros.fetch_add(static_cast<std::uint64_t>(micros),
-                                  std::memory_order_relaxed);
-}
-
+/// Writes the counters that have no labels.
 void
-Increment(Counter& aCounter)
+WriteCounters(std::ostream& aOut, const Metrics& aMetrics)
 {
-  aCounter.fetch_add(1, std::memory_order_relaxed);
-}
-
-std::string
-FormatMetrics(const Metrics& aMetrics, const std::vector<Gauge>& aGauges)
-{
-  std::ostringstream out;
-  WriteCountersByReason<flows::Reason>(
-    out,
-    "packets_total",
-    "Callers' packets by reason of the decision.",
-    aMetrics.mPacketsByReason);
-  WriteCountersByReason<RouteDefect>(
-    out,
-    "defective_routes_total",
-    "Routes that were left out or have an unknown kind.",
-    aMetrics.mDefectiveRoutes);
   const std::tuple<std::string_view, std::string_view, const Counter&>
     counters[] = {
       { "malformed_packets_total",
@@ -164,8 +133,46 @@
         aMetrics.mPullFailures },
     };
   for (const auto& [name, help, counter] : counters) {
-    WriteCounter(out, name, help, counter);
+    WriteCounter(aOut, name, help, counter);
   }
+}
+
+} // namespace
+
+void
+Observe(LatencyHistogram& aHistogram, state::Duration aLatency)
+{
+  const auto bound = std::ranges::lower_bound(kLatencyBounds, aLatency);
+  Increment(
+    aHistogram
+      .mBuckets[static_cast<std::size_t>(bound - kLatencyBounds.begin())]);
+  const auto micros =
+    std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count();
+  aHistogram.mSumMicros.fetch_add(static_cast<std::uint64_t>(micros),
+                                  std::memory_order_relaxed);
+}
+
+void
+Increment(Counter& aCounter)
+{
+  aCounter.fetch_add(1, std::memory_order_relaxed);
+}
+
+std::string
+FormatMetrics(const Metrics& aMetrics, const std::vector<Gauge>& aGauges)
+{
+  std::ostringstream out;
+  WriteCountersByReason<flows::Reason>(
+    out,
+    "packets_total",
+    "Callers' packets by reason of the decision.",
+    aMetrics.mPacketsByReason);
+  WriteCountersByReason<RouteDefect>(
+    out,
+    "defective_routes_total",
+    "Routes that were left out or have an unknown kind.",
+    aMetrics.mDefectiveRoutes);
+  WriteCounters(out, aMetrics);
   WriteHistogram(out,
                  "store_call_seconds",
                  "Time of successful store calls that do not wait for changes.",
--- a/src/sassafrasknot/flows/cold_admission.cpp
+++ b/src/sassafrasknot/flows/cold_admission.cpp
@@ -218,6 +218,24 @@
   }
 }
 
+void
+RestartWarmUps(UpstreamTable& aTable,
+               const state::DataCentreId& aDataCentre,
+               state::TimePoint aNow)
+{
+  for (auto& [token, record] : aTable.mByToken) {
+    auto& admission = record.mColdAdmission;
+    if (admission.mIsLimited && record.mUpstream.mDataCentre == aDataCentre) {
+      record.mWarmUpEnd =
+        std::max(record.mWarmUpEnd, aNow + state::Duration(admission.mWarmUp));
+      admission.mWasCold = true;
+      admission.mNextAdmission = std::max(
+        admission.mNextAdmission, aNow + IntervalOf(CurrentRate(record, aNow)));
+    }
+  }
+  ListPlacedUpstreams(aTable, aNow);
+}
+
 bool
 IsColdAndLimited(const UpstreamRecord& aRecord, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/cold_admission_test.cpp
+++ b/src/sassafrasknot/flows/cold_admission_test.cpp
@@ -262,6 +262,25 @@
   EXPECT_NE(fixture.Open(1, kRequestPort, seconds(60)).mUpstream, nullptr);
 }
 
+// Guards against all traffic returning at once to a data centre whose upstreams
+// have become cold during its evacuation.
+TEST(ColdAdmission, UpstreamsAreColdAgainAfterAnEvacuation)
+{
+  ColdFixture fixture;
+  fixture.AddUpstream("i-2", "b");
+  fixture.Publish(milliseconds(1));
+  fixture.Run(milliseconds(0), seconds(70));
+  EXPECT_FALSE(IsColdAndLimited(fixture.Record(), At(seconds(70))));
+  RestartWarmUps(fixture.mRouter.mUpstreams, { "a" }, At(seconds(70)));
+  EXPECT_TRUE(IsColdAndLimited(fixture.Record(), At(seconds(129))));
+  EXPECT_FALSE(IsColdAndLimited(fixture.Record(), At(seconds(130))));
+  EXPECT_FALSE(IsColdAndLimited(fixture.Record("i-2"), At(seconds(71))));
+  EXPECT_FALSE(AdmitsColdFlow(
+    fixture.Record(), FlowLength::SingleRequest, At(seconds(70))));
+  EXPECT_TRUE(AdmitsColdFlow(
+    fixture.Record(), FlowLength::SingleRequest, At(milliseconds(70250))));
+}
+
 // Guards against a fresh allowance for an upstream that restarts while cold.
 TEST(ColdAdmission, ARestartedUpstreamStartsWithoutBudget)
 {
