--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -68,6 +68,12 @@
   /// microseconds.
   std::atomic<std::uint64_t> mOpenUploads{ 0 };
   std::atomic<std::uint64_t> mUploadQueueMicros{ 0 };
+  /// New flows that were placed on cold upstreams with a limit; for which such
+  /// an upstream of this instance had no budget left; and which were refused
+  /// while such upstreams did not admit them.
+  std::atomic<std::uint64_t> mColdAdmissions{ 0 };
+  std::atomic<std::uint64_t> mColdBudgetUsedUp{ 0 };
+  std::atomic<std::uint64_t> mColdRefusals{ 0 };
   /// HTTP requests to the store; a read of several pages sends several.
   std::atomic<std::uint64_t> mStoreCalls{ 0 };
   std::atomic<std::uint64_t> mStoreFailures{ 0 };
@@ -78,6 +84,8 @@
   /// Evacuations of a data centre that had no upstreams, at their start or
   /// later.
   std::atomic<std::uint64_t> mEvacuationsWithoutUpstreams{ 0 };
+  /// Malformed limits of cold upstreams, over all received configurations.
+  std::atomic<std::uint64_t> mDefectiveLimits{ 0 };
   /// Datagrams received on the fleet endpoint, malformed ones included.
   std::atomic<std::uint64_t> mFleetMessages{ 0 };
   std::atomic<std::uint64_t> mMalformedMessages{ 0 };
--- a/include/sassafrasknot/edge/platform_formats.hpp
+++ b/include/sassafrasknot/edge/platform_formats.hpp
@@ -85,6 +85,9 @@
 {
   std::shared_ptr<const flows::Configuration> mConfiguration;
   std::vector<DefectiveRoute> mDefectiveRoutes;
+  /// Location and cause of each malformed limit of cold upstreams. Such a limit
+  /// has no effect.
+  std::vector<std::string> mDefectiveLimits;
 };
 
 /// @brief A decoded order to evacuate a data centre. The key names the data
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -33,6 +33,8 @@
   std::uint32_t mRandomSeed = 1;
   /// Bandwidth of this instance's link, in Mbit/s; 0 if not known.
   double mLinkMbps = 0;
+  /// Tolerance of the limits of cold upstreams.
+  ColdBounds mColdBounds;
 };
 
 /// @brief Why a packet was handled as it was.
@@ -162,6 +164,8 @@
   std::map<state::DataCentreId, std::uint64_t> mEvacuationRefusals;
   /// Uploads on this instance's own link.
   BulkAdmission mBulk;
+  /// View of the fleet, by which one instance places flows on a cold upstream.
+  ColdPlacement mColdPlacement;
   /// Packets that were forwarded before this time, the end of the last stall or
   /// congestion of this instance, are no evidence of a failure. What arrived
   /// during a stall is processed at once after it, so that a retransmission may
@@ -194,8 +198,19 @@
 /// which determines its subset of upstreams.
 /// @param aRouter the router
 /// @param aPosition the position
+/// @param aNow current time on the steady clock
+void
+OnPosition(FlowRouter& aRouter,
+           const InstancePosition& aPosition,
+           state::TimePoint aNow);
+
+/// @brief Applies a new view of the fleet, which determines the cold upstreams
+/// on which this instance places flows.
+/// @param aRouter the router
+/// @param aView the view
+/// @param aNow current time on the steady clock
 void
-OnPosition(FlowRouter& aRouter, const InstancePosition& aPosition);
+OnFleetView(FlowRouter& aRouter, FleetView aView, state::TimePoint aNow);
 
 /// @brief Decides on a caller's packet and records what it shows.
 /// @param aRouter the router
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -5,6 +5,7 @@
 #include "sassafrasknot/edge/platform_formats.hpp"
 #include "sassafrasknot/edge/settings.hpp"
 #include "sassafrasknot/fleet/fleet_core.hpp"
+#include "sassafrasknot/fleet/fleet_view.hpp"
 #include "sassafrasknot/fleet/probe_schedule.hpp"
 #include "sassafrasknot/flows/directory_builder.hpp"
 #include "sassafrasknot/net/http_server.hpp"
@@ -97,6 +98,9 @@
   /// Records whether the last call to the store succeeded, and logs changes. A
   /// response that the history is compacted counts as success.
   void UpdateStoreReachability(bool aReachable, const std::string& aReason);
+  /// Sends the traffic thread the view of the fleet that the limits of cold
+  /// upstreams depend on, if it is due and any service has a limit.
+  void SendFleetView(state::TimePoint aNow);
   void OnFleetDatagram(std::span<std::uint8_t> aDatagram);
   void OnTrafficReport(TrafficReport aReport);
   /// Returns whether the platform should send packets to this instance.
@@ -124,6 +128,12 @@
   bool mStoreReachable = true;
   /// Loads of other instances arrived that the traffic thread does not have.
   bool mPeerLoadsChanged = false;
+  /// Members that count when this instance decides whether it may place flows
+  /// on cold upstreams, and next time at which it does.
+  fleet::MemberMemory mMemberMemory;
+  state::TimePoint mNextFleetView;
+  /// Whether the last view permitted it; for the dump.
+  bool mMayPlaceOnCold = false;
   fleet::ProbeSchedule mProbeSchedule;
   /// Start of the planned stop, if it has begun.
   std::optional<state::TimePoint> mStopStarted;
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -72,41 +72,10 @@
        << kPrefix << aName << "_count " << count << '\n';
 }
 
-} // namespace
-
-void
-Observe(LatencyHistogram& aHistogram, state::Duration aLatency)
-{
-  const auto bound = std::ranges::lower_bound(kLatencyBounds, aLatency);
-  Increment(
-    aHistogram
-      .mBuckets[static_cast<std::size_t>(bound - kLatencyBounds.begin())]);
-  const auto micros =
-    std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count();
-  aHistogram.mSumMicros.fetch_add(static_cast<std::uint64_t>(micros),
-                                  std::memory_order_relaxed);
-}
-
+/// Writes the counters that have no labels.
 void
-Increment(Counter& aCounter)
+WriteCounters(std::ostream& aOut, const Metrics& aMetrics)
 {
-  aCounter.fetch_add(1, std::memory_order_relaxed);
-}
-
-std::string
-FormatMetrics(const Metrics& aMetrics, const std::vector<Gauge>& aGauges)
-{
-  std::ostringstream out;
-  WriteCountersByReason<flows::Reason>(
-    out,
-    "packets_total",
-    "Callers' packets by reason of the decision.",
-    aMetrics.mPacketsByReason);
-  WriteCountersByReason<RouteDefect>(
-    out,
-    "defective_routes_total",
-    "Routes that were left out or have an unknown kind.",
-    aMetrics.mDefectiveRoutes);
   const std::tuple<std::string_view, std::string_view, const Counter&>
     counters[] = {
       { "malformed_packets_total",
@@ -124,6 +93,16 @@
       { "silences_ended_total",
         "Changes of an upstream back to responsive.",
         aMetrics.mDetectedRecoveries },
+      { "cold_flows_admitted_total",
+        "New flows placed on cold upstreams whose service has a limit.",
+        aMetrics.mColdAdmissions },
+      { "cold_budget_used_up_total",
+        "New flows for which a cold upstream that this instance places flows "
+        "on had no budget left.",
+        aMetrics.mColdBudgetUsedUp },
+      { "cold_flows_refused_total",
+        "New flows refused while cold upstreams did not admit them.",
+        aMetrics.mColdRefusals },
       { "store_calls_total",
         "Calls to the platform's store.",
         aMetrics.mStoreCalls },
@@ -133,6 +112,9 @@
       { "unreadable_records_total",
         "Records of the store that could not be decoded.",
         aMetrics.mMalformedRecords },
+      { "unreadable_warmup_limits_total",
+        "Limits of cold upstreams that could not be decoded.",
+        aMetrics.mDefectiveLimits },
       { "evacuations_without_upstreams_total",
         "Evacuations of a data centre that had no upstreams.",
         aMetrics.mEvacuationsWithoutUpstreams },
@@ -154,8 +136,46 @@
         aMetrics.mPullFailures },
     };
   for (const auto& [name, help, counter] : counters) {
-    WriteCounter(out, name, help, counter);
+    WriteCounter(aOut, name, help, counter);
   }
+}
+
+} // namespace
+
+void
+Observe(LatencyHistogram& aHistogram, state::Duration aLatency)
+{
+  const auto bound = std::ranges::lower_bound(kLatencyBounds, aLatency);
+  Increment(
+    aHistogram
+      .mBuckets[static_cast<std::size_t>(bound - kLatencyBounds.begin())]);
+  const auto micros =
+    std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count();
+  aHistogram.mSumMicros.fetch_add(static_cast<std::uint64_t>(micros),
+                                  std::memory_order_relaxed);
+}
+
+void
+Increment(Counter& aCounter)
+{
+  aCounter.fetch_add(1, std::memory_order_relaxed);
+}
+
+std::string
+FormatMetrics(const Metrics& aMetrics, const std::vector<Gauge>& aGauges)
+{
+  std::ostringstream out;
+  WriteCountersByReason<flows::Reason>(
+    out,
+    "packets_total",
+    "Callers' packets by reason of the decision.",
+    aMetrics.mPacketsByReason);
+  WriteCountersByReason<RouteDefect>(
+    out,
+    "defective_routes_total",
+    "Routes that were left out or have an unknown kind.",
+    aMetrics.mDefectiveRoutes);
+  WriteCounters(out, aMetrics);
   WriteHistogram(out,
                  "store_call_seconds",
                  "Time of successful store calls that do not wait for changes.",
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/flows/router_liveness.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -27,6 +28,28 @@
   return aRoute.mServices.front().mService;
 }
 
+/// Counts what the limits of cold upstreams did to a new flow.
+/// @param aChosen upstream of the flow, or null if it is refused
+void
+CountColdOutcome(ColdCounters& aCounters,
+                 const ServicePool& aPool,
+                 const UpstreamRecord* aChosen,
+                 FlowLength aLength,
+                 state::TimePoint aNow)
+{
+  const auto isUsedUp = [&](const UpstreamRecord* aRecord) {
+    return !AdmitsColdFlow(*aRecord, aLength, aNow);
+  };
+  if (std::ranges::any_of(aPool.mColdPlaced, isUsedUp)) {
+    ++aCounters.mBudgetUsedUp;
+  }
+  if (aChosen == nullptr) {
+    aCounters.mRefused += std::ranges::any_of(aPool.mAll, isUsedUp) ? 1 : 0;
+  } else if (IsColdAndLimited(*aChosen, aNow)) {
+    ++aCounters.mAdmitted;
+  }
+}
+
 /// Chooses an upstream for a flow, or returns null if none accepts it.
 UpstreamRecord*
 ChooseForFlow(FlowRouter& aRouter,
@@ -53,6 +76,8 @@
       ++aRouter.mEvacuationRefusals[dataCentre];
     }
   }
+  CountColdOutcome(
+    aRouter.mColdPlacement.mCounters, pool, chosen, length, aNow);
   return chosen;
 }
 
@@ -66,6 +91,7 @@
         state::TimePoint aNow)
 {
   RecordTrial(aRecord.mFailureDetector, aNow);
+  RecordColdFlow(aRecord, aNow);
   auto& entry = aRouter.mFlows[aPacket.mFlow];
   entry.mToken = aRecord.mToken;
   entry.mKind = aRoute.mKind;
