--- a/src/sassafrasknot/fleet/catalogue_test.cpp
+++ b/src/sassafrasknot/fleet/catalogue_test.cpp
@@ -52,6 +52,31 @@
   EXPECT_EQ(changes.mRecords[0].mRevision, 19U);
 }
 
+// Guards against an order that returns after its removal, such as that of an
+// evacuation, because a peer that is behind sends its older record, in changes
+// or in a full copy; and against one that stays away after it was written
+// again.
+TEST(Catalogue, ADeletedRecordReturnsOnlyWhenWrittenAgain)
+{
+  Catalogue catalogue;
+  Merge(catalogue, { 0, 5, { MakeRecord("op/evacuate/b", 5) } });
+  EXPECT_EQ(Merge(catalogue, { 5, 6, { MakeRecord("op/evacuate/b", 6, true) } })
+              ->size(),
+            1U);
+  const auto older = MakeRecord("op/evacuate/b", 5);
+  EXPECT_TRUE(Merge(catalogue, { 4, 5, { older } })->empty());
+  EXPECT_TRUE(Merge(catalogue, { 0, 5, { older } })->empty());
+  EXPECT_EQ(Merge(catalogue, { 4, 7, { older, MakeRecord("c", 7) } }),
+            std::vector<std::string>{ "c" });
+  EXPECT_FALSE(catalogue.mRecords.contains("op/evacuate/b"));
+  // An instance that was paused receives removal and renewal at once.
+  Catalogue paused;
+  Merge(paused, { 0, 5, { older } });
+  Merge(catalogue, { 7, 8, { MakeRecord("op/evacuate/b", 8) } });
+  EXPECT_EQ(Merge(paused, ChangesAfter(catalogue, 5))->size(), 2U);
+  EXPECT_EQ(paused.mRecords.at("op/evacuate/b").mRevision, 8U);
+}
+
 // Guards against items that remain although a full copy no longer has them.
 TEST(Catalogue, AFullCopyRemovesRecordsThatItLacks)
 {
