Test that last-resort choices respect the limit of cold upstreams

Cause: reassigned flows, and flows in a data centre with subsetting in which no upstream admits any, are placed by other paths than ordinary ones. Change: a test for both, with and without subsetting. Result: it passes, as do all tests of flows.

--- a/src/sassafrasknot/flows/cold_admission_test.cpp
+++ b/src/sassafrasknot/flows/cold_admission_test.cpp
@@ -281,6 +281,34 @@
     fixture.Record(), FlowLength::SingleRequest, At(milliseconds(70250))));
 }
 
+// Guards against flows that reach a cold upstream without budget as a last
+// resort: reassigned ones, and those of a data centre with subsetting in which
+// no upstream admits flows.
+TEST(ColdAdmission, LastResortsRespectTheLimit)
+{
+  for (const std::size_t instances : { 3U, 20U }) {
+    ColdFixture fixture;
+    fixture.AddUpstream("i-2", "a");
+    fixture.AddUpstream("i-3", "b");
+    fixture.mDirectory.mUpstreams[2].mUpstream.mWarmUpLeft = seconds(60);
+    fixture.Publish(milliseconds(1));
+    OnPosition(fixture.mRouter, { 0, instances }, At(milliseconds(1)));
+    const auto first = fixture.Open(1, kRequestPort, milliseconds(2));
+    ASSERT_NE(first.mUpstream, nullptr);
+    EXPECT_EQ(first.mUpstream->mUpstream.mId, "i-2");
+    // It does not answer; the others are cold and not placed here.
+    const auto copy = fixture.Open(1, kRequestPort, milliseconds(202), 1);
+    ASSERT_NE(copy.mUpstream, nullptr);
+    EXPECT_EQ(copy.mUpstream->mUpstream.mId, "i-2");
+    fixture.mDirectory.mUpstreams[1].mUpstream.mDraining = true;
+    fixture.Publish(milliseconds(300));
+    const auto refused = fixture.Open(2, kRequestPort, milliseconds(301));
+    EXPECT_EQ(refused.mAction, PacketAction::Reset);
+    EXPECT_EQ(refused.mReason, Reason::NoUpstream);
+    EXPECT_EQ(refused.mVerdict, state::Verdict::NotRun);
+  }
+}
+
 // Guards against a fresh allowance for an upstream that restarts while cold.
 TEST(ColdAdmission, ARestartedUpstreamStartsWithoutBudget)
 {
