Place flows by expected remaining work and speed of upstreams

Placement counted active requests per slot: each request was one unit and each upstream equally fast. It now uses the expected remaining work of this instance's requests, the speed of the upstream, and an average of peers' requests, since most of the requests in a report have ended when it is used. Work and speed are learned from the time between a request and its answer, less the shortest recent handshake.

--- /dev/null
+++ b/include/sassafrasknot/flows/answer_learning.hpp
@@ -0,0 +1,37 @@
+#ifndef SASSAFRASKNOT_FLOWS_ANSWER_LEARNING_HPP
+#define SASSAFRASKNOT_FLOWS_ANSWER_LEARNING_HPP
+
+#include "sassafrasknot/flows/upstream_table.hpp"
+#include "sassafrasknot/flows/work_model.hpp"
+#include "sassafrasknot/state/endpoint.hpp"
+#include "sassafrasknot/state/time.hpp"
+
+namespace sassafrasknot::flows {
+
+/// @brief An upstream's answer to a request.
+struct AnsweredRequest
+{
+  state::Endpoint mRoute;
+  state::Ipv4Address mCaller;
+  /// Time from the request's last byte to its answer, without the network.
+  Work mTaken{ 0 };
+  /// It did not wait in the upstream's queue.
+  bool mFoundFreeSlot = false;
+};
+
+/// @brief Learns the work of requests and the speed of their upstream from an
+/// answer, each with the present estimate of the other. An answer that is much
+/// earlier than usual changes neither, but counts as backlog; see EarlyAnswers.
+/// @param aModel work of requests
+/// @param aRecord the upstream
+/// @param aAnswer the answer
+/// @param aNow current time on the steady clock
+void
+LearnFromAnswer(WorkModel& aModel,
+                UpstreamRecord& aRecord,
+                const AnsweredRequest& aAnswer,
+                state::TimePoint aNow);
+
+} // namespace sassafrasknot::flows
+
+#endif
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -43,6 +43,11 @@
   state::TimePoint mNewDataSent;
   /// When data was last forwarded, new or retransmitted.
   state::TimePoint mLastDataSent;
+  /// The newest request found a free slot at its upstream, as far as is known.
+  bool mFoundFreeSlot = false;
+  /// Expected remaining work of the active request, in units of the mean work;
+  /// 1 while nothing is learned.
+  float mBacklog = 1;
   /// When the newest packet arrived.
   state::TimePoint mLastPacket;
   /// When this instance first saw the flow, if its configuration has had no
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -7,6 +7,7 @@
 #include "sassafrasknot/flows/placement.hpp"
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/flows/upstream_table.hpp"
+#include "sassafrasknot/flows/work_model.hpp"
 #include "sassafrasknot/state/error.hpp"
 
 #include <chrono>
@@ -136,6 +137,8 @@
   std::unordered_map<state::FlowKey, FlowEntry> mFlows;
   /// Length of the flows of each route.
   std::map<state::Endpoint, FlowLengthEstimate> mFlowLengths;
+  /// Work of the requests of each route and caller.
+  WorkModel mWork;
   /// Changes that the owner of the router has not collected yet.
   std::vector<LivenessChange> mLivenessChanges;
   /// Upstreams that became unresponsive, or were reported as such, since
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -46,8 +46,20 @@
   /// Upstream that did not answer the flow's opening packet, if any. It is
   /// chosen only if there is no other.
   UpstreamToken mAvoid = kNoToken;
+  /// Expected work of its request, in units of the mean work.
+  double mWork = 1;
 };
 
+/// @brief Returns the work that is expected to be left of the requests at an
+/// upstream. A request of another instance counts as one unit, since only their
+/// number is reported.
+/// @param aRecord the upstream
+/// @param aNow current time on the steady clock
+/// @return backlog in units of the mean work; the number of active requests
+/// while nothing is learned
+double
+ExpectedBacklog(const UpstreamRecord& aRecord, state::TimePoint aNow);
+
 /// @brief Returns the mean wait at an upstream by an approximation of a queue
 /// with several servers and random arrivals (Sakasegawa 1977).
 /// @param aUtilisation mean number of active requests per slot; may exceed 1
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -4,12 +4,14 @@
 #include "sassafrasknot/flows/failure_detector.hpp"
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/flows/subset.hpp"
+#include "sassafrasknot/flows/upstream_speed.hpp"
 #include "sassafrasknot/state/identifiers.hpp"
 #include "sassafrasknot/state/time.hpp"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +29,28 @@
   auto operator<=>(const UpstreamLoad&) const = default;
 };
 
+/// @brief Backlog of requests that were answered much earlier than usual. They
+/// count as long as they would have run otherwise, so that an upstream which
+/// fails requests quickly attracts no more of them than the others.
+struct EarlyAnswers
+{
+  /// In units of the mean work, at mAt.
+  double mBacklog = 0;
+  /// Units that end per second.
+  double mRate = 0;
+  state::TimePoint mAt;
+};
+
+/// @brief Shortest handshakes at an upstream in the present and the previous
+/// period. A handshake takes the same path as a request and its answer, so that
+/// the difference is the upstream's time.
+struct RecentHandshakes
+{
+  std::optional<state::Duration> mShortest;
+  std::optional<state::Duration> mPreviousShortest;
+  state::TimePoint mPeriodStart;
+};
+
 /// @brief An upstream with its state at this instance.
 struct UpstreamRecord
 {
@@ -42,6 +66,22 @@
   UpstreamLoad mOwnLoad;
   /// Load by other instances' flows, as they last reported it.
   UpstreamLoad mPeerLoad;
+  /// Expected remaining work of this instance's active requests, in units of
+  /// the mean work, less their number; 0 while nothing is learned.
+  double mExcessBacklog = 0;
+  /// Peers' active requests, averaged over kReportTimeConstant.
+  double mAveragePeerRequests = 0;
+  /// Weight of the reported number of peers' requests against their average. It
+  /// falls with the time that requests take: when most reported requests have
+  /// already ended, the average is the better estimate, and all instances that
+  /// place by the same reports would choose the same upstream.
+  double mReportWeight = 1;
+  EarlyAnswers mEarlyAnswers;
+  SpeedEstimate mSpeed;
+  RecentHandshakes mHandshakes;
+  /// Answers that this instance did not use as samples of the speed, since they
+  /// were much earlier than usual.
+  std::uint64_t mEarlyAnswerCount = 0;
   /// Active requests of all instances, averaged over kLoadAverageTimeConstant.
   double mAverageActiveRequests = 0;
   /// Mean utilisation (active requests per slot) of its data centre, if that
@@ -53,6 +93,10 @@
 /// requests, and longer than the interval of other data centres' reports.
 constexpr std::chrono::milliseconds kLoadAverageTimeConstant{ 1000 };
 
+/// Time constant of the average of peers' active requests: several times the
+/// age of their reports.
+constexpr std::chrono::milliseconds kReportTimeConstant{ 500 };
+
 /// @brief The upstreams of one service among which new flows are placed.
 struct ServicePool
 {
@@ -112,6 +156,16 @@
 double
 LocalUtilisation(const UpstreamTable& aTable);
 
+/// @brief Advances the average of peers' active requests.
+/// @param aRecord the upstream
+/// @param aMeanWork mean work of its service, if it is learned; otherwise the
+/// reported number counts alone
+/// @param aElapsed time since the last call
+void
+UpdateReportAverage(UpstreamRecord& aRecord,
+                    std::optional<Work> aMeanWork,
+                    state::Duration aElapsed);
+
 /// @brief Advances the averages of active requests.
 /// @param aTable the table
 /// @param aElapsed time since the last call
--- /dev/null
+++ b/src/sassafrasknot/flows/answer_learning.cpp
@@ -0,0 +1,64 @@
+#include "sassafrasknot/flows/answer_learning.hpp"
+
+#include "sassafrasknot/flows/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sassafrasknot::flows {
+namespace {
+
+/// Shorter times cannot be told from the variation of the network's delay.
+constexpr Work kShortestTime{ 0.0005 };
+
+/// Adds the work that a request was expected to take to the backlog.
+void
+RecordEarlyAnswer(UpstreamRecord& aRecord,
+                  Work aUsual,
+                  Work aUnit,
+                  state::TimePoint aNow)
+{
+  auto& early = aRecord.mEarlyAnswers;
+  const std::chrono::duration<double> elapsed = aNow - early.mAt;
+  early.mBacklog =
+    std::max(early.mBacklog - elapsed.count() * early.mRate, 0.0);
+  early.mBacklog += aUsual / aUnit;
+  early.mRate =
+    aRecord.mUpstream.mSlots * Speed(aRecord.mSpeed, aNow) / aUnit.count();
+  early.mAt = aNow;
+  ++aRecord.mEarlyAnswerCount;
+}
+
+} // namespace
+
+void
+LearnFromAnswer(WorkModel& aModel,
+                UpstreamRecord& aRecord,
+                const AnsweredRequest& aAnswer,
+                state::TimePoint aNow)
+{
+  const Work taken = std::max(aAnswer.mTaken, kShortestTime);
+  const auto* route = FindRouteWork(aModel, aAnswer.mRoute, aNow);
+  const double speed = Speed(aRecord.mSpeed, aNow);
+  const auto& service = aRecord.mUpstream.mService;
+  if (route != nullptr) {
+    const Work usual(
+      std::exp(route->mMeanLog) *
+      CallerFactor(aModel, aAnswer.mRoute, aAnswer.mCaller, aNow));
+    if (taken * speed * kShortAnswerFactor < usual) {
+      const auto unit = MeanWork(aModel, service, aNow);
+      RecordEarlyAnswer(aRecord, usual, unit.value_or(usual), aNow);
+      return;
+    }
+    if (aAnswer.mFoundFreeSlot) {
+      RecordSpeed(aRecord.mSpeed, usual, taken, aNow);
+    }
+  }
+  if (aAnswer.mFoundFreeSlot) {
+    RecordWork(aModel,
+               { aAnswer.mRoute, service, aAnswer.mCaller, taken * speed },
+               aNow);
+  }
+}
+
+} // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/flows/router_liveness.hpp"
 #include "sassafrasknot/flows/router_placement.hpp"
+#include "sassafrasknot/flows/router_work.hpp"
 
 #include <algorithm>
 #include <array>
@@ -187,9 +188,23 @@
   if (entry.mOpenedHere && !entry.mEstablished) {
     aRouter.mOpens.mAnswered += 1;
     RecordHandshake(aRouter.mLink, aNow - entry.mOpenSent, aNow);
+    RecordShortestHandshake(record->mHandshakes, aNow - entry.mOpenSent, aNow);
   }
   const auto requestsBefore = entry.mRequests;
+  const bool foundFreeSlot = entry.mFoundFreeSlot;
   const auto findings = RecordPacket(entry, aPacket, aNow);
+  if (findings.mAnswersRequest && route != nullptr) {
+    LearnFromResponse(
+      aRouter, *record, aPacket.mFlow, findings, foundFreeSlot, aNow);
+  }
+  if (aPacket.mPayloadBytes > 0 && entry.mNewDataSent == aNow) {
+    RecordRequestData(aRouter,
+                      *record,
+                      aPacket.mFlow,
+                      entry,
+                      entry.mRequests != requestsBefore,
+                      aNow);
+  }
   const bool endsFlow = aPacket.mKind == state::SegmentKind::Finish ||
                         aPacket.mKind == state::SegmentKind::Reset;
   if (route != nullptr) {
@@ -268,6 +283,9 @@
     std::erase_if(aRouter.mFlowLengths, [&](const auto& aItem) {
       return !configuration->mRoutes.contains(aItem.first);
     });
+    std::erase_if(aRouter.mWork.mRoutes, [&](const auto& aItem) {
+      return !configuration->mRoutes.contains(aItem.first);
+    });
   }
   UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
   BuildPools(
@@ -317,6 +335,7 @@
     aRouter.mIgnoreEvidenceBefore = aNow;
   }
   UpdateLoadAverages(aRouter.mUpstreams, aNow - aRouter.mLastTick);
+  UpdateReportAverages(aRouter, aNow - aRouter.mLastTick, aNow);
   DecayOpenOutcomes(aRouter.mOpens, aNow - aRouter.mLastTick);
   aRouter.mLastTick = aNow;
   const auto& configuration =
@@ -352,6 +371,7 @@
       entry.mRequestActive = false;
       AddLoad(*record, entry, 1);
     }
+    UpdateRemainingWork(aRouter, *record, it->first, entry, aNow);
     ++it;
   }
   DiscardWidespreadUnansweredOpens(aRouter);
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -20,6 +20,8 @@
 struct ServiceLoad
 {
   double mSlots = 0;
+  /// Sum of slots times speed.
+  double mCapacity = 0;
   double mFeeds = 0;
   /// Average of active requests.
   double mActiveRequests = 0;
@@ -31,13 +33,20 @@
   return aRecord.mOwnLoad.mFeeds + aRecord.mPeerLoad.mFeeds;
 }
 
+double
+CapacityOf(const UpstreamRecord& aRecord, state::TimePoint aNow)
+{
+  return aRecord.mUpstream.mSlots * Speed(aRecord.mSpeed, aNow);
+}
+
 ServiceLoad
-SumLoad(std::span<UpstreamRecord* const> aUpstreams)
+SumLoad(std::span<UpstreamRecord* const> aUpstreams, state::TimePoint aNow)
 {
   ServiceLoad load;
   for (const auto* record : aUpstreams) {
     if (AcceptsFlows(*record)) {
       load.mSlots += record->mUpstream.mSlots;
+      load.mCapacity += CapacityOf(*record, aNow);
       load.mFeeds += FeedsOf(*record);
       load.mActiveRequests += record->mAverageActiveRequests;
     }
@@ -49,33 +58,41 @@
 /// long, so that its cost depends on the utilisation over a longer time. This
 /// is estimated as the mean of two values: the average so far, and the value
 /// that the upstream's share of the service's feeds predicts, since requests of
-/// newly placed feeds do not yet show in the average.
+/// newly placed feeds do not yet show in the average. At low load shares are
+/// proportional to capacity: feeds cannot be moved when the load rises, so that
+/// they are not concentrated on the fastest upstreams.
 double
 FeedCost(const UpstreamRecord& aRecord,
          const ServiceLoad& aService,
-         const PlacementPolicy& aPolicy)
+         const PlacementPolicy& aPolicy,
+         state::TimePoint aNow)
 {
   const double slots = aRecord.mUpstream.mSlots;
-  const double meanFeeds = (aService.mFeeds + 1) / aService.mSlots;
-  const double share = FeedsOf(aRecord) / slots / meanFeeds;
+  const double meanFeeds = (aService.mFeeds + 1) / aService.mCapacity;
+  const double share = FeedsOf(aRecord) / CapacityOf(aRecord, aNow) / meanFeeds;
   const double predictedUtilisation =
     share * aService.mActiveRequests / aService.mSlots;
   const double utilisation = std::max(
     (aRecord.mAverageActiveRequests / slots + predictedUtilisation) / 2,
     aRecord.mAssumedUtilisation);
-  return ExpectedWait(utilisation, aRecord.mUpstream.mSlots) +
+  return ExpectedWait(utilisation, aRecord.mUpstream.mSlots) /
+           Speed(aRecord.mSpeed, aNow) +
          aPolicy.mFairShareWeight * share;
 }
 
-/// Returns the cost of a flow of one request. It depends on the requests that
-/// are active at the upstream now, not on an average.
+/// Returns the cost of a flow of one request: its expected completion time,
+/// less the time that it takes at an idle upstream of speed 1. It depends on
+/// the requests that are active at the upstream now, not on an average.
 double
-RequestCost(const UpstreamRecord& aRecord)
+RequestCost(const UpstreamRecord& aRecord,
+            const PlacementRequest& aRequest,
+            state::TimePoint aNow)
 {
-  const double activeRequests =
-    aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests;
-  return std::max(activeRequests / aRecord.mUpstream.mSlots,
-                  aRecord.mAssumedUtilisation);
+  const double perSlot =
+    std::max(ExpectedBacklog(aRecord, aNow) / aRecord.mUpstream.mSlots,
+             aRecord.mAssumedUtilisation);
+  const double speed = Speed(aRecord.mSpeed, aNow);
+  return perSlot / speed + aRequest.mWork * (1 / speed - 1);
 }
 
 double
@@ -86,8 +103,8 @@
      state::TimePoint aNow)
 {
   const bool isFeed = aRequest.mLength == FlowLength::ManyRequests;
-  double cost =
-    isFeed ? FeedCost(aRecord, aService, aPolicy) : RequestCost(aRecord);
+  double cost = isFeed ? FeedCost(aRecord, aService, aPolicy, aNow)
+                       : RequestCost(aRecord, aRequest, aNow);
   if (aRecord.mUpstream.mDataCentre != aRequest.mDataCentre) {
     cost += isFeed ? aPolicy.mRemoteFeedPenalty : aPolicy.mRemoteRequestPenalty;
   }
@@ -216,6 +233,22 @@
 
 } // namespace
 
+double
+ExpectedBacklog(const UpstreamRecord& aRecord, state::TimePoint aNow)
+{
+  const auto& early = aRecord.mEarlyAnswers;
+  double unfinished = 0;
+  if (early.mBacklog > 0) {
+    const std::chrono::duration<double> elapsed = aNow - early.mAt;
+    unfinished = std::max(early.mBacklog - elapsed.count() * early.mRate, 0.0);
+  }
+  const double peers =
+    aRecord.mReportWeight * aRecord.mPeerLoad.mActiveRequests +
+    (1 - aRecord.mReportWeight) * aRecord.mAveragePeerRequests;
+  return aRecord.mOwnLoad.mActiveRequests + aRecord.mExcessBacklog + peers +
+         unfinished;
+}
+
 double
 ExpectedWait(double aUtilisation, std::uint32_t aSlots)
 {
@@ -243,9 +276,10 @@
                std::minstd_rand& aRandom,
                state::TimePoint aNow)
 {
-  auto service = SumLoad(aPool.mIsSubset ? aPool.mLocalCandidates : aPool.mAll);
+  auto service =
+    SumLoad(aPool.mIsSubset ? aPool.mLocalCandidates : aPool.mAll, aNow);
   if (service.mSlots == 0) {
-    service = SumLoad(aPool.mAll);
+    service = SumLoad(aPool.mAll, aNow);
   }
   UpstreamRecord* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -70,6 +70,12 @@
   }
   if (aEntry.mRequestActive) {
     aRecord.mOwnLoad.mActiveRequests += aSign;
+    aRecord.mExcessBacklog +=
+      aSign * (static_cast<double>(aEntry.mBacklog) - 1);
+    // Removes rounding errors.
+    if (aRecord.mOwnLoad.mActiveRequests == 0) {
+      aRecord.mExcessBacklog = 0;
+    }
   }
 }
 
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/flows/router_placement.hpp"
 
 #include "sassafrasknot/flows/router_liveness.hpp"
+#include "sassafrasknot/flows/router_work.hpp"
 
 #include <string>
 
@@ -40,8 +41,9 @@
     return nullptr;
   }
   const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
+  const auto work = ExpectedRequestWork(aRouter, aPacket.mFlow, service, aNow);
   return ChooseUpstream(found->second,
-                        { length, aRouter.mSettings.mDataCentre, aAvoid },
+                        { length, aRouter.mSettings.mDataCentre, aAvoid, work },
                         aRouter.mSettings.mPolicy,
                         aRouter.mRandom,
                         aNow);
@@ -67,6 +69,8 @@
   entry.mCountedInLoad = true;
   // A caller opens a flow to send a request, which therefore counts already.
   entry.mRequestActive = true;
+  entry.mBacklog = static_cast<float>(ExpectedRequestWork(
+    aRouter, aPacket.mFlow, aRecord.mUpstream.mService, aNow));
   AddLoad(aRecord, entry, 1);
   return { PacketAction::Forward, aReason, state::Verdict::NotRun, &aRecord };
 }
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -38,7 +38,8 @@
                      aRecord.mUpstream.mStarted != upstream.mStarted;
   if (isNew) {
     // The flow table still has entries that count in this load.
-    aRecord = UpstreamRecord{ .mOwnLoad = aRecord.mOwnLoad };
+    aRecord = UpstreamRecord{ .mOwnLoad = aRecord.mOwnLoad,
+                              .mExcessBacklog = aRecord.mExcessBacklog };
   }
   if (isNew || aRecord.mUpstream.mWarmUpLeft != upstream.mWarmUpLeft) {
     aRecord.mWarmUpEnd = aNow + upstream.mWarmUpLeft;
@@ -139,6 +140,21 @@
   return slots == 0 ? 0 : activeRequests / slots;
 }
 
+void
+UpdateReportAverage(UpstreamRecord& aRecord,
+                    std::optional<Work> aMeanWork,
+                    state::Duration aElapsed)
+{
+  // Mean age of the reports, which are 25 to 200 ms old.
+  constexpr Work kReportAge{ 0.1 };
+  const double weight = std::min(
+    1.0, std::chrono::duration<double>(aElapsed) / kReportTimeConstant);
+  aRecord.mAveragePeerRequests +=
+    weight * (aRecord.mPeerLoad.mActiveRequests - aRecord.mAveragePeerRequests);
+  aRecord.mReportWeight =
+    aMeanWork ? *aMeanWork / (*aMeanWork + kReportAge) : 1;
+}
+
 void
 UpdateLoadAverages(UpstreamTable& aTable, state::Duration aElapsed)
 {
