--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/flows/router_placement.hpp"
 
 #include "sassafrasknot/flows/router_liveness.hpp"
+#include "sassafrasknot/flows/router_work.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -65,9 +66,10 @@
   }
   const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
   const auto& pool = found->second;
+  const auto work = ExpectedRequestWork(aRouter, aPacket.mFlow, service, aNow);
   auto* chosen =
     ChooseUpstream(pool,
-                   { length, aRouter.mSettings.mDataCentre, aAvoid },
+                   { length, aRouter.mSettings.mDataCentre, aAvoid, work },
                    aRouter.mSettings.mPolicy,
                    aRouter.mRandom,
                    aNow);
@@ -102,6 +104,8 @@
   entry.mCountedInLoad = true;
   // A caller opens a flow to send a request, which therefore counts already.
   entry.mRequestActive = true;
+  entry.mBacklog = static_cast<float>(ExpectedRequestWork(
+    aRouter, aPacket.mFlow, aRecord.mUpstream.mService, aNow));
   AddLoad(aRecord, entry, 1);
   return { PacketAction::Forward, aReason, state::Verdict::NotRun, &aRecord };
 }
