Test that remaining upstreams share the load of two data centres evenly

Cause: no test covered subsets of a remaining data centre together with the flows of an evacuated one.

Change: 30 instances of each place 40 flows on the 60 upstreams that are left.

Result: no upstream receives more than 1.5 times the mean.

--- a/src/sassafrasknot/flows/evacuation_test.cpp
+++ b/src/sassafrasknot/flows/evacuation_test.cpp
@@ -16,7 +16,7 @@
 const state::DataCentreId kOther{ "b" };
 constexpr std::string_view kService = "scheduling";
 
-/// The table of an instance in data centre "a".
+/// The table of an instance, which is in data centre "a" unless set otherwise.
 struct EvacuationFixture
 {
   void AddUpstreams(const std::string& aDataCentre, int aCount)
@@ -30,19 +30,20 @@
   void Publish()
   {
     UpdateTable(mTable, mDirectory, At(milliseconds(0)));
-    BuildPools(mTable, kOwn, mPosition);
+    BuildPools(mTable, mDataCentre, mPosition);
   }
 
   UpstreamRecord* Choose(FlowLength aLength = FlowLength::SingleRequest,
                          UpstreamToken aAvoid = kNoToken)
   {
     return ChooseUpstream(mTable.mByService.find(kService)->second,
-                          { aLength, kOwn, aAvoid },
+                          { aLength, mDataCentre, aAvoid },
                           {},
                           mRandom,
                           At(milliseconds(0)));
   }
 
+  state::DataCentreId mDataCentre = kOwn;
   Directory mDirectory;
   UpstreamTable mTable;
   InstancePosition mPosition{ 0, 3 };
@@ -227,6 +228,38 @@
   }
 }
 
+// Guards against remaining upstreams that are overloaded because the subsets of
+// their own data centre and the flows of the evacuated one, of 30 instances
+// each, favour the same ones.
+TEST(Evacuation, RemainingUpstreamsShareTheWholeLoad)
+{
+  constexpr std::size_t kInstances = 30;
+  constexpr int kUpstreams = 60;
+  constexpr int kFlows = 40;
+  std::map<std::string, int> counts;
+  for (std::size_t instance = 0; instance < 2 * kInstances; ++instance) {
+    EvacuationFixture fixture;
+    fixture.mDataCentre = instance < kInstances ? kOwn : kOther;
+    fixture.mRandom.seed(static_cast<unsigned>(instance + 1));
+    fixture.mPosition = { instance % kInstances, kInstances };
+    fixture.AddUpstreams("a", kUpstreams);
+    fixture.AddUpstreams("b", kUpstreams);
+    fixture.mDirectory.mEvacuations = { { kOwn, 7 } };
+    fixture.Publish();
+    for (int flow = 0; flow < kFlows; ++flow) {
+      auto* chosen = fixture.Choose();
+      ++chosen->mOwnLoad.mActiveRequests;
+      ++counts[chosen->mUpstream.mId];
+    }
+  }
+  constexpr int kMean = 2 * kInstances * kFlows / kUpstreams;
+  EXPECT_EQ(CountIn(counts, "i-a"), 0);
+  EXPECT_EQ(counts.size(), static_cast<std::size_t>(kUpstreams));
+  for (const auto& [id, count] : counts) {
+    EXPECT_LE(count, kMean * 3 / 2) << id;
+  }
+}
+
 // Guards against flows that overload a busy data centre while another has spare
 // capacity, and against ones that all go to the data centre that was reported
 // as slightly less utilised.
