Start warm-ups when an evacuation ends

Cause: RestartWarmUps existed but nothing called it, so that all traffic would return at once to upstreams that became cold while they received none. Change: OnDirectory calls it for data centres that are no longer evacuated. It has an effect only if the service has a limit. Result: UpstreamsAreColdAgainAfterAnEvacuation now goes through the directory; it fails without the call.

--- a/src/sassafrasknot/flows/cold_admission_test.cpp
+++ b/src/sassafrasknot/flows/cold_admission_test.cpp
@@ -268,10 +268,12 @@
 {
   ColdFixture fixture;
   fixture.AddUpstream("i-2", "b");
+  fixture.mDirectory.mEvacuations[{ "a" }] = 5;
   fixture.Publish(milliseconds(1));
   fixture.Run(milliseconds(0), seconds(70));
   EXPECT_FALSE(IsColdAndLimited(fixture.Record(), At(seconds(70))));
-  RestartWarmUps(fixture.mRouter.mUpstreams, { "a" }, At(seconds(70)));
+  fixture.mDirectory.mEvacuations.clear();
+  fixture.Publish(seconds(70));
   EXPECT_TRUE(IsColdAndLimited(fixture.Record(), At(seconds(129))));
   EXPECT_FALSE(IsColdAndLimited(fixture.Record(), At(seconds(130))));
   EXPECT_FALSE(IsColdAndLimited(fixture.Record("i-2"), At(seconds(71))));
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -193,6 +193,20 @@
   }
 }
 
+/// Starts the warm-up of the upstreams whose data centre is no longer
+/// evacuated: without requests, they may have become cold.
+void
+RestartWarmUpsAfterEvacuation(FlowRouter& aRouter,
+                              const Directory& aPrevious,
+                              state::TimePoint aNow)
+{
+  for (const auto& [dataCentre, revision] : aPrevious.mEvacuations) {
+    if (!aRouter.mDirectory->mEvacuations.contains(dataCentre)) {
+      RestartWarmUps(aRouter.mUpstreams, dataCentre, aNow);
+    }
+  }
+}
+
 /// Decides on a packet of an established flow and records what it shows. The
 /// packet goes to the upstream that its token names. Reset instead are flows
 /// whose route was dropped, and idempotent flows that retransmit to a reported
@@ -320,7 +334,8 @@
             std::shared_ptr<const Directory> aDirectory,
             state::TimePoint aNow)
 {
-  aRouter.mDirectory = std::move(aDirectory);
+  const auto previous =
+    std::exchange(aRouter.mDirectory, std::move(aDirectory));
   if (const auto& configuration = aRouter.mDirectory->mConfiguration) {
     std::erase_if(aRouter.mFlowLengths, [&](const auto& aItem) {
       return !configuration->mRoutes.contains(aItem.first);
@@ -336,6 +351,9 @@
   BuildPools(
     aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aRouter.mPosition);
   ApplyColdLimits(aRouter, aNow);
+  if (previous) {
+    RestartWarmUpsAfterEvacuation(aRouter, *previous, aNow);
+  }
 }
 
 void
