Add sassafrasknotctl check for documents before they are submitted

validate accepts documents whose entries never apply to a flow, such as a service without upstreams, and limits that contradict each other, such as long_share 0 with a listener for long flows. Such a mistake is noticed only when callers are refused.

check reports them with their location, together with the validation errors and, with --in-force, the changes that diff prints. It exits with 0 if nothing is found, 1 for findings or unsafe changes and 2 if a document cannot be decoded. It uses the instances' decoders, RenderSet, Compare and MakeServiceTable; the text and JSON of a difference move from diff to a file that both commands use.

--- a/apps/sassafrasknotctl/change_text.hpp
+++ b/apps/sassafrasknotctl/change_text.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
 
 namespace sassafrasknotctl {
 
@@ -24,6 +25,18 @@
 boost::json::array
 ToJson(const std::vector<sassafrasknot::state::Change>& aChanges);
 
+/// @brief Writes a difference to standard output: one line per change, one per
+/// listener whose established flows do not simply stay, and a summary.
+/// @param aDifference difference between two sets of documents
+void
+PrintDifference(const sassafrasknot::state::Difference& aDifference);
+
+/// @brief Converts a difference to JSON.
+/// @param aDifference difference between two sets of documents
+/// @return an object with the members changes and flows
+boost::json::object
+ToJson(const sassafrasknot::state::Difference& aDifference);
+
 } // namespace sassafrasknotctl
 
 #endif
--- a/apps/sassafrasknotctl/command_line.cpp
+++ b/apps/sassafrasknotctl/command_line.cpp
@@ -1,5 +1,6 @@
 #include "command_line.hpp"
 
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <type_traits>
@@ -40,16 +41,22 @@
 {
   int json = 0;
   int help = 0;
-  const poptOption options[] = {
+  char* inForce = nullptr;
+  std::vector<poptOption> options = {
     { "json", '\0', POPT_ARG_NONE, &json, 0, nullptr, nullptr },
-    { "help", '?', POPT_ARG_NONE, &help, 0, nullptr, nullptr },
-    POPT_TABLEEND
+    { "help", '?', POPT_ARG_NONE, &help, 0, nullptr, nullptr }
   };
+  if (aHelp.mHasInForce) {
+    options.push_back(
+      { "in-force", '\0', POPT_ARG_STRING, &inForce, 0, nullptr, nullptr });
+  }
+  options.push_back(POPT_TABLEEND);
   const std::unique_ptr<std::remove_pointer_t<poptContext>,
                         poptContext (*)(poptContext)>
-    context(poptGetContext(aHelp.mName, aArgc, aArgv, options, 0),
+    context(poptGetContext(aHelp.mName, aArgc, aArgv, options.data(), 0),
             poptFreeContext);
   const int code = poptGetNextOpt(context.get());
+  const std::unique_ptr<char, decltype(&std::free)> owner(inForce, &std::free);
   if (code < -1) {
     aExitStatus = ReportUsageError(
       aHelp,
@@ -58,12 +65,13 @@
   }
   if (help != 0) {
     std::cout << "usage: sassafrasknotctl " << aHelp.mName << " [--json] "
+              << (aHelp.mHasInForce ? "[--in-force INPUT] " : "")
               << aHelp.mArguments << "\n\n"
               << aHelp.mText << kInputHelp;
     aExitStatus = 0;
     return std::nullopt;
   }
-  CommandLine line{ {}, json != 0 };
+  CommandLine line{ {}, json != 0, inForce != nullptr ? inForce : "" };
   while (const char* argument = poptGetArg(context.get())) {
     line.mArguments.emplace_back(argument);
   }
--- a/apps/sassafrasknotctl/command_line.hpp
+++ b/apps/sassafrasknotctl/command_line.hpp
@@ -9,7 +9,7 @@
 namespace sassafrasknotctl {
 
 /// @brief Name, usage and help text of a command that reads documents
-/// (validate, render, diff, submit-check).
+/// (validate, check, render, diff, submit-check).
 struct CommandHelp
 {
   const char* mName;
@@ -19,6 +19,8 @@
   const char* mText;
   std::size_t mMinArguments = 1;
   std::size_t mMaxArguments = 1;
+  /// Whether the command has the option --in-force INPUT.
+  bool mHasInForce = false;
 };
 
 /// @brief Parsed command line of a command that reads documents.
@@ -26,6 +28,8 @@
 {
   std::vector<std::string> mArguments;
   bool mJson = false;
+  /// Value of --in-force; empty if it is not given.
+  std::string mInForce;
 };
 
 /// @brief Parses a command line. Help is written to standard output, a usage
--- a/apps/sassafrasknotctl/commands.cpp
+++ b/apps/sassafrasknotctl/commands.cpp
@@ -16,6 +16,7 @@
     Command{ "drain", "start the planned stop of an instance", RunDrain },
     Command{ "load", "open flows and check their answers", RunLoad },
     Command{ "validate", "check platform documents", RunValidate },
+    Command{ "check", "find useless and contradicting entries", RunCheck },
     Command{ "render", "show organisations as they are served", RunRender },
     Command{ "diff", "show what a change of documents does", RunDiff },
     Command{
--- a/apps/sassafrasknotctl/commands.hpp
+++ b/apps/sassafrasknotctl/commands.hpp
@@ -30,6 +30,16 @@
 int
 RunValidate(int aArgc, const char** aArgv);
 
+/// @brief Runs `sassafrasknotctl check INPUT [--in-force INPUT]`: checks
+/// documents, also for entries that never apply and limits that contradict each
+/// other, and compares them with those in force.
+/// @param aArgc number of entries of aArgv
+/// @param aArgv arguments, the command's name first
+/// @return 0 if nothing was found; 1 for findings or unsafe changes;
+/// kExitUsage for wrong options or unreadable documents
+int
+RunCheck(int aArgc, const char** aArgv);
+
 /// @brief Runs `sassafrasknotctl render INPUT [ORGANISATION]`: prints
 /// organisations with their templates filled in.
 /// @param aArgc number of entries of aArgv
--- a/apps/sassafrasknotctl/document_commands_test.cpp
+++ b/apps/sassafrasknotctl/document_commands_test.cpp
@@ -249,6 +249,59 @@
   EXPECT_EQ(check("submit-check").mStatus, kExitUsage);
 }
 
+// Guards against equal exit statuses for clean, faulty and undecodable
+// documents, and against a difference that is not shown or judged.
+TEST(CheckCommand, DistinguishesFindingsFromUnreadableDocuments)
+{
+  const DocumentFolder old("in-force");
+  const DocumentFolder folder("check");
+  const auto oldPath = old.Path();
+  const auto path = folder.Path();
+  const auto check = [&](std::vector<const char*> aMore) {
+    aMore.insert(aMore.begin(), { "check", path.c_str() });
+    return RunCommand(std::move(aMore));
+  };
+  const auto file = path + "/organisations/a.json: ";
+  EXPECT_EQ(check({}).mStatus, 0);
+  EXPECT_EQ(check({ "--json" }).mOutput, "{\"clean\":true,\"findings\":[]}\n");
+
+  // A safe change is shown, but is no finding; a listener whose
+  // upstream port changes is unsafe.
+  folder.Write("organisations/a.json",
+               Replaced(kOrganisation,
+                        "\"127.20.0.2\",",
+                        "\"127.20.0.2\", \"state\": \"leaving\","));
+  const auto drained = check({ "--in-force", oldPath.c_str() });
+  EXPECT_EQ(drained.mStatus, 0);
+  EXPECT_THAT(drained.mOutput, StartsWith("upstream-drained "));
+  folder.Write("templates/t.json", Replaced(kTemplate, "8444", "8445"));
+  const auto unsafe = check({ "--json", "--in-force", oldPath.c_str() });
+  EXPECT_EQ(unsafe.mStatus, 1);
+  EXPECT_THAT(unsafe.mOutput, StartsWith("{\"clean\":false,\"findings\":[],"));
+  EXPECT_THAT(unsafe.mOutput, HasSubstr("\"established\":\"break\""));
+
+  folder.Write(
+    "organisations/a.json",
+    Replaced(kOrganisation, "\"upstreams\"", "\"shards\": 5, \"upstreams\""));
+  const auto useless = check({});
+  EXPECT_EQ(useless.mStatus, 1);
+  EXPECT_THAT(useless.mOutput,
+              StartsWith(file + "services/feed/shards: never-matches: "));
+  folder.Write("organisations/a.json", Replaced(kOrganisation, "dc1", "dc2"));
+  const auto invalid = check({ "--in-force", oldPath.c_str() });
+  EXPECT_EQ(invalid.mStatus, 1);
+  EXPECT_THAT(invalid.mOutput,
+              StartsWith(file + "services/feed/upstreams/127.20.0.1/"
+                                "data_centre: error: "));
+  folder.Write("organisations/a.json", "{}");
+  const auto unreadable = check({});
+  EXPECT_EQ(unreadable.mStatus, kExitUsage);
+  EXPECT_THAT(unreadable.mErrors, StartsWith(file));
+  EXPECT_EQ(RunCommand({ "check", oldPath.c_str(), "--in-force", path.c_str() })
+              .mStatus,
+            kExitUsage);
+}
+
 // Guards against rendered organisations that do not show the states of the
 // published lists of upstreams.
 TEST(RenderCommand, ShowsPublishedStates)
@@ -272,7 +325,8 @@
 // against usage errors and missing files that do not give kExitUsage.
 TEST(DocumentCommands, HelpFitsAScreen)
 {
-  for (const char* name : { "validate", "render", "diff", "submit-check" }) {
+  for (const char* name :
+       { "validate", "check", "render", "diff", "submit-check" }) {
     const auto result = RunCommand({ name, "--help" });
     EXPECT_EQ(result.mStatus, 0);
     EXPECT_LE(std::ranges::count(result.mOutput, '\n'), 23) << name;
--- a/apps/sassafrasknotctl/document_input.cpp
+++ b/apps/sassafrasknotctl/document_input.cpp
@@ -162,18 +162,23 @@
     return input;
   }
   input.mRendered = RenderSet(input.mDocuments);
-  for (const auto& [key, finding] : input.mRendered.mFindings) {
-    if (isFolder) {
-      const auto file = (fs::path(aPath) / (key + ".json")).string();
-      input.mErrors.push_back({ file, finding.mLocation, finding.mMessage });
-    } else {
-      input.mErrors.push_back(
-        { aPath, key + '/' + finding.mLocation, finding.mMessage });
-    }
+  for (const auto& finding : input.mRendered.mFindings) {
+    input.mErrors.push_back(LocateFinding(aPath, finding));
   }
   return input;
 }
 
+InputError
+LocateFinding(const std::string& aPath, const state::DocumentFinding& aFinding)
+{
+  const auto& [key, finding] = aFinding;
+  if (fs::is_directory(aPath)) {
+    const auto file = (fs::path(aPath) / (key + ".json")).string();
+    return { file, finding.mLocation, finding.mMessage };
+  }
+  return { aPath, key + '/' + finding.mLocation, finding.mMessage };
+}
+
 void
 PrintErrors(const std::vector<InputError>& aErrors)
 {
--- a/apps/sassafrasknotctl/document_input.hpp
+++ b/apps/sassafrasknotctl/document_input.hpp
@@ -41,6 +41,14 @@
 DocumentInput
 ReadInput(const std::string& aPath);
 
+/// @brief Returns a finding in a document of an input with the path of its
+/// file.
+/// @param aPath file or folder, as for ReadInput
+/// @param aFinding finding in the document
+/// @return the finding as ReadInput reports errors
+InputError
+LocateFinding(const std::string& aPath, const state::DocumentFinding& aFinding);
+
 /// @brief Writes errors as lines "FILE: PLACE: MESSAGE" to standard error.
 /// @param aErrors errors to write, in this order
 void
