--- a/include/sassafrasknot/edge/platform_formats.hpp
+++ b/include/sassafrasknot/edge/platform_formats.hpp
@@ -56,10 +56,12 @@
   UnknownKind,
   /// It cannot be decoded and is left out.
   Unreadable,
+  /// A later route has the same service endpoint and replaces it.
+  Shadowed,
 };
 
 /// @brief Number of route defects.
-constexpr std::size_t kRouteDefectCount = 2;
+constexpr std::size_t kRouteDefectCount = 3;
 
 /// @brief Returns the name of a defect as it stands in logs and metrics.
 /// @param aDefect defect of a route
@@ -67,7 +69,15 @@
 constexpr std::string_view
 ToString(RouteDefect aDefect)
 {
-  return aDefect == RouteDefect::UnknownKind ? "unknown_kind" : "unreadable";
+  switch (aDefect) {
+    case RouteDefect::UnknownKind:
+      return "unknown_kind";
+    case RouteDefect::Unreadable:
+      return "unreadable";
+    case RouteDefect::Shadowed:
+      return "shadowed";
+  }
+  return "unknown";
 }
 
 /// @brief A route of a configuration that could not be decoded completely.
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -105,7 +105,7 @@
   WriteCountersByReason<RouteDefect>(
     out,
     "defective_routes_total",
-    "Routes that were left out or have an unknown kind.",
+    "Routes that were left out or replaced, or have an unknown kind.",
     aMetrics.mDefectiveRoutes);
   const std::tuple<std::string_view, std::string_view, const Counter&>
     counters[] = {
