--- a/apps/sassafrasknotctl/check_command.cpp
+++ b/apps/sassafrasknotctl/check_command.cpp
@@ -63,25 +63,50 @@
             << " findings\n";
 }
 
+/// Converts a finding with its location to JSON.
+boost::json::object
+ToJson(std::string_view aKind, const InputError& aFinding)
+{
+  return { { "kind", aKind },
+           { "file", aFinding.mFile },
+           { "place", aFinding.mLocation },
+           { "message", aFinding.mMessage } };
+}
+
 boost::json::object
 ReportToJson(const CheckReport& aReport)
 {
   boost::json::array findings;
   for (const auto& [kind, finding] : aReport.mFindings) {
-    const auto located = LocateFinding(aReport.mPath, finding);
-    findings.push_back(boost::json::object{ { "kind", ToString(kind) },
-                                            { "file", located.mFile },
-                                            { "place", located.mLocation },
-                                            { "message", located.mMessage } });
+    findings.push_back(
+      ToJson(ToString(kind), LocateFinding(aReport.mPath, finding)));
   }
   boost::json::object object{ { "clean", IsClean(aReport) },
                               { "findings", std::move(findings) } };
   if (aReport.mDifference) {
-    object["difference"] = ToJson(*aReport.mDifference);
+    object["difference"] = sassafrasknotctl::ToJson(*aReport.mDifference);
   }
   return object;
 }
 
+/// Writes the errors that make a check impossible to standard error, and to
+/// standard output too if JSON is wanted. Returns the exit status.
+int
+ReportUnreadable(const std::vector<InputError>& aErrors, bool aJson)
+{
+  PrintErrors(aErrors);
+  if (aJson) {
+    boost::json::array findings;
+    for (const auto& error : aErrors) {
+      findings.push_back(ToJson("unreadable", error));
+    }
+    std::cout << boost::json::serialize(boost::json::object{
+                   { "clean", false }, { "findings", std::move(findings) } })
+              << '\n';
+  }
+  return kExitUsage;
+}
+
 } // namespace
 
 int
@@ -97,17 +122,16 @@
   // Documents are rendered only if all of them could be decoded. Errors without
   // findings of the rendering are therefore errors of the decoder.
   if (!input.mErrors.empty() && input.mRendered.mFindings.empty()) {
-    PrintErrors(input.mErrors);
-    return kExitUsage;
+    return ReportUnreadable(input.mErrors, line->mJson);
   }
   report.mFindings = CheckDocuments(input.mDocuments, input.mRendered);
   if (!line->mInForce.empty()) {
-    const auto inForce = ReadValidInput(line->mInForce);
-    if (!inForce) {
-      return kExitUsage;
+    const auto inForce = ReadInput(line->mInForce);
+    if (!inForce.mErrors.empty()) {
+      return ReportUnreadable(inForce.mErrors, line->mJson);
     }
     if (input.mErrors.empty()) {
-      report.mDifference = Compare(inForce->mDocuments, input.mDocuments);
+      report.mDifference = Compare(inForce.mDocuments, input.mDocuments);
     }
   }
   if (line->mJson) {
--- a/apps/sassafrasknotctl/document_commands_test.cpp
+++ b/apps/sassafrasknotctl/document_commands_test.cpp
@@ -297,6 +297,10 @@
   const auto unreadable = check({});
   EXPECT_EQ(unreadable.mStatus, kExitUsage);
   EXPECT_THAT(unreadable.mErrors, StartsWith(file));
+  EXPECT_THAT(unreadable.mOutput, IsEmpty());
+  EXPECT_THAT(check({ "--json" }).mOutput,
+              StartsWith("{\"clean\":false,\"findings\":[{\"kind\":"
+                         "\"unreadable\",\"file\":"));
   EXPECT_EQ(RunCommand({ "check", oldPath.c_str(), "--in-force", path.c_str() })
               .mStatus,
             kExitUsage);
