Show the estimates of placement in log, dump and metrics

An operator could not see why an upstream was chosen. Lines of placed flows have a field chosen_by, the dump shows speed, backlog and early answers of each upstream and the work of each route with age and number of samples, and two counters show how many answers were used and how many came too early.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -61,6 +61,10 @@
   std::atomic<std::uint64_t> mDetectedFailures{ 0 };
   /// Changes of an upstream to Responsive.
   std::atomic<std::uint64_t> mDetectedRecoveries{ 0 };
+  /// Answers from which the work of a route was learned, and answers that were
+  /// much earlier than usual and therefore were not used.
+  std::atomic<std::uint64_t> mWorkSamples{ 0 };
+  std::atomic<std::uint64_t> mEarlyAnswers{ 0 };
   /// Current number of flows in the router's table.
   std::atomic<std::uint64_t> mOpenFlows{ 0 };
   /// HTTP requests to the store; a read of several pages sends several.
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -86,6 +86,8 @@
   /// Time from a request's last byte to the caller's acknowledgement of the
   /// answer's first bytes, if this packet is that acknowledgement.
   std::optional<state::Duration> mResponseTime;
+  /// Why the upstream was chosen, if it was chosen for this packet.
+  std::optional<ChoiceReason> mChoice;
 };
 
 /// @brief A change of an upstream's liveness.
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <random>
+#include <string_view>
 
 namespace sassafrasknot::flows {
 
@@ -50,6 +51,22 @@
   double mWork = 1;
 };
 
+/// @brief Why an upstream was chosen over the next best one.
+enum class ChoiceReason : std::uint8_t
+{
+  OnlyOne,    ///< No other upstream was compared.
+  EqualCost,  ///< At random among upstreams of equal cost.
+  LessLoad,   ///< It has less backlog per slot or, for feeds, fewer of them.
+  Faster,     ///< It works faster.
+  LowPenalty, ///< The next best is in another data centre, cold or expired.
+};
+
+/// @brief Returns the name of a reason as it stands in logs.
+/// @param aReason why an upstream was chosen
+/// @return lower-case words joined by underscores
+std::string_view
+ToString(ChoiceReason aReason);
+
 /// @brief Returns the work that is expected to be left of the requests at an
 /// upstream. A request of another instance counts as one unit, since only their
 /// number is reported.
@@ -80,13 +97,15 @@
 /// @param aPolicy penalties, weights and numbers of random choices
 /// @param aRandom source of random numbers
 /// @param aNow current time on the steady clock
+/// @param aReason receives why the upstream was chosen, unless it is null
 /// @return the upstream, or null if none accepts new flows
 UpstreamRecord*
 ChooseUpstream(const ServicePool& aPool,
                const PlacementRequest& aRequest,
                const PlacementPolicy& aPolicy,
                std::minstd_rand& aRandom,
-               state::TimePoint aNow);
+               state::TimePoint aNow,
+               ChoiceReason* aReason = nullptr);
 
 } // namespace sassafrasknot::flows
 
--- a/include/sassafrasknot/flows/work_model.hpp
+++ b/include/sassafrasknot/flows/work_model.hpp
@@ -73,6 +73,9 @@
   std::map<std::string, ServiceWork, std::less<>> mServices;
   /// Hash table with one place for each hash value.
   std::vector<CallerWork> mCallers = std::vector<CallerWork>(kCallerEstimates);
+  /// Samples since the start, and answers that were too early to be samples.
+  std::uint64_t mSampleCount = 0;
+  std::uint64_t mEarlyAnswerCount = 0;
 };
 
 /// @brief The work of a request that was answered without waiting in a queue.
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -46,6 +46,17 @@
   return "gone";
 }
 
+/// Returns the milliseconds since a time, or "never" for the default one.
+std::string
+AgeText(state::TimePoint aTime, state::TimePoint aNow)
+{
+  if (aTime == state::TimePoint{}) {
+    return "never";
+  }
+  const auto age = std::chrono::duration_cast<milliseconds>(aNow - aTime);
+  return std::to_string(age.count());
+}
+
 } // namespace
 
 std::string
@@ -72,6 +83,11 @@
       { "own_at_work", std::to_string(record.mOwnLoad.mActiveRequests) },
       { "peers_feeds", std::to_string(record.mPeerLoad.mFeeds) },
       { "peers_at_work", std::to_string(record.mPeerLoad.mActiveRequests) },
+      { "backlog", std::to_string(flows::ExpectedBacklog(record, aNow)) },
+      { "speed", std::to_string(flows::Speed(record.mSpeed, aNow)) },
+      { "speed_samples", std::to_string(record.mSpeed.mSamples) },
+      { "speed_age_ms", AgeText(record.mSpeed.mUpdatedAt, aNow) },
+      { "early_answers", std::to_string(record.mEarlyAnswerCount) },
       { "liveness", std::string(ToText(detector.mLiveness)) },
       { "repeated", std::to_string(detector.mRetransmittingFlows) },
       { "unseen", std::to_string(detector.mUnansweredOpens) },
@@ -87,6 +103,14 @@
     }
     *text += "\n";
   }
+  for (const auto& [endpoint, work] : aRouter.mWork.mRoutes) {
+    const auto mean =
+      std::chrono::duration_cast<std::chrono::microseconds>(work.mMean);
+    *text += "route_work " + ToString(endpoint) +
+             " mean_us=" + std::to_string(mean.count()) +
+             " samples=" + std::to_string(work.mSamples) +
+             " age_ms=" + AgeText(work.mUpdatedAt, aNow) + '\n';
+  }
   return text;
 }
 
@@ -110,6 +134,10 @@
                         std::to_string(record->mOwnLoad.mActiveRequests));
     fields.emplace_back("peers_at_work",
                         std::to_string(record->mPeerLoad.mActiveRequests));
+    if (aDecision.mChoice) {
+      fields.emplace_back("chosen_by",
+                          std::string(ToString(*aDecision.mChoice)));
+    }
   } else if (aPacket.mToken != flows::kNoToken) {
     fields.emplace_back("token", std::to_string(aPacket.mToken));
   }
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -209,6 +209,8 @@
   report.mOpenFlows = mRouter.mFlows.size();
   report.mSinceLastPacket = aNow - mLastPacket;
   mMetrics->mOpenFlows = report.mOpenFlows;
+  mMetrics->mWorkSamples = mRouter.mWork.mSampleCount;
+  mMetrics->mEarlyAnswers = mRouter.mWork.mEarlyAnswerCount;
   mReportHandler(std::move(report));
 }
 
--- a/src/sassafrasknot/flows/answer_learning.cpp
+++ b/src/sassafrasknot/flows/answer_learning.cpp
@@ -47,6 +47,7 @@
       CallerFactor(aModel, aAnswer.mRoute, aAnswer.mCaller, aNow));
     if (taken * speed * kShortAnswerFactor < usual) {
       const auto unit = MeanWork(aModel, service, aNow);
+      ++aModel.mEarlyAnswerCount;
       RecordEarlyAnswer(aRecord, usual, unit.value_or(usual), aNow);
       return;
     }
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -1,9 +1,11 @@
 #include "sassafrasknot/flows/placement.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace sassafrasknot::flows {
@@ -231,8 +233,37 @@
   return candidates;
 }
 
+/// Returns why an upstream has a lower cost than another one.
+ChoiceReason
+Compare(const UpstreamRecord& aChosen,
+        const UpstreamRecord& aOther,
+        const PlacementRequest& aRequest,
+        state::TimePoint aNow)
+{
+  const auto load = [&](const UpstreamRecord& aRecord) {
+    return aRequest.mLength == FlowLength::ManyRequests
+             ? FeedsOf(aRecord) / CapacityOf(aRecord, aNow)
+             : ExpectedBacklog(aRecord, aNow) / aRecord.mUpstream.mSlots;
+  };
+  if (load(aChosen) < load(aOther)) {
+    return ChoiceReason::LessLoad;
+  }
+  return Speed(aChosen.mSpeed, aNow) > Speed(aOther.mSpeed, aNow)
+           ? ChoiceReason::Faster
+           : ChoiceReason::LowPenalty;
+}
+
 } // namespace
 
+std::string_view
+ToString(ChoiceReason aReason)
+{
+  constexpr std::array<std::string_view, 5> names{
+    "only_one", "equal_cost", "less_load", "faster", "low_penalty"
+  };
+  return names[static_cast<std::size_t>(aReason)];
+}
+
 double
 ExpectedBacklog(const UpstreamRecord& aRecord, state::TimePoint aNow)
 {
@@ -274,22 +305,33 @@
                const PlacementRequest& aRequest,
                const PlacementPolicy& aPolicy,
                std::minstd_rand& aRandom,
-               state::TimePoint aNow)
+               state::TimePoint aNow,
+               ChoiceReason* aReason)
 {
   auto service =
     SumLoad(aPool.mIsSubset ? aPool.mLocalCandidates : aPool.mAll, aNow);
   if (service.mSlots == 0) {
     service = SumLoad(aPool.mAll, aNow);
   }
+  const UpstreamRecord* next = nullptr;
   UpstreamRecord* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
+  double nextCost = bestCost;
   for (auto* record : Candidates(aPool, aRequest, aPolicy, aRandom, aNow)) {
     const double cost = Cost(*record, service, aRequest, aPolicy, aNow);
     if (cost < bestCost) {
-      best = record;
-      bestCost = cost;
+      next = std::exchange(best, record);
+      nextCost = std::exchange(bestCost, cost);
+    } else if (cost < nextCost) {
+      next = record;
+      nextCost = cost;
     }
   }
+  if (aReason != nullptr && best != nullptr) {
+    *aReason = next == nullptr        ? ChoiceReason::OnlyOne
+               : bestCost == nextCost ? ChoiceReason::EqualCost
+                                      : Compare(*best, *next, aRequest, aNow);
+  }
   return best;
 }
 
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -33,6 +33,7 @@
               const CallerPacket& aPacket,
               const Route& aRoute,
               UpstreamToken aAvoid,
+              ChoiceReason& aReason,
               state::TimePoint aNow)
 {
   const auto& service = ChooseService(aRoute, aPacket.mFlow);
@@ -46,7 +47,8 @@
                         { length, aRouter.mSettings.mDataCentre, aAvoid, work },
                         aRouter.mSettings.mPolicy,
                         aRouter.mRandom,
-                        aNow);
+                        aNow,
+                        &aReason);
 }
 
 /// Places a flow on an upstream and replaces the flow's entry.
@@ -85,17 +87,21 @@
           state::TimePoint aNow)
 {
   RemoveFlow(aRouter, aPacket.mFlow);
-  auto* record = ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, aNow);
+  auto choice = ChoiceReason::OnlyOne;
+  auto* record = ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, choice, aNow);
   if (record == nullptr) {
     return MakeRefusal(
       PacketAction::Reset, Reason::NoUpstream, state::Verdict::NotRun);
   }
-  return PlaceOn(aRouter,
-                 *record,
-                 aPacket,
-                 aRoute,
-                 aAvoid == kNoToken ? Reason::Placed : Reason::Reassigned,
-                 aNow);
+  auto decision =
+    PlaceOn(aRouter,
+            *record,
+            aPacket,
+            aRoute,
+            aAvoid == kNoToken ? Reason::Placed : Reason::Reassigned,
+            aNow);
+  decision.mChoice = choice;
+  return decision;
 }
 
 /// Returns whether an opening packet is a copy that arrives after its flow was
--- a/src/sassafrasknot/flows/work_model.cpp
+++ b/src/sassafrasknot/flows/work_model.cpp
@@ -129,6 +129,7 @@
                      aNow);
   }
   RecordRouteWork(route, work, aNow);
+  ++aModel.mSampleCount;
   auto& service = FindOrAddService(aModel, aSample.mService);
   service.mSamples =
     std::min(AgedSamples(service.mSamples, service.mUpdatedAt, aNow) + 1,
