--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -237,6 +237,8 @@
   mMetrics->mColdAdmissions = cold.mAdmitted;
   mMetrics->mColdBudgetUsedUp = cold.mBudgetUsedUp;
   mMetrics->mColdRefusals = cold.mRefused;
+  mMetrics->mWorkSamples = mRouter.mWork.mSampleCount;
+  mMetrics->mEarlyAnswers = mRouter.mWork.mEarlyAnswerCount;
   mReportHandler(std::move(report));
 }
 
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -3,9 +3,11 @@
 #include "sassafrasknot/flows/evacuation.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace sassafrasknot::flows {
@@ -300,8 +302,37 @@
   return load.mSlots == 0 ? SumLoad(aPool.mAll, aNow) : load;
 }
 
+/// Returns why an upstream has a lower cost than another one.
+ChoiceReason
+Compare(const UpstreamRecord& aChosen,
+        const UpstreamRecord& aOther,
+        const PlacementRequest& aRequest,
+        state::TimePoint aNow)
+{
+  const auto load = [&](const UpstreamRecord& aRecord) {
+    return aRequest.mLength == FlowLength::ManyRequests
+             ? FeedsOf(aRecord) / CapacityOf(aRecord, aNow)
+             : ExpectedBacklog(aRecord, aNow) / aRecord.mUpstream.mSlots;
+  };
+  if (load(aChosen) < load(aOther)) {
+    return ChoiceReason::LessLoad;
+  }
+  return Speed(aChosen.mSpeed, aNow) > Speed(aOther.mSpeed, aNow)
+           ? ChoiceReason::Faster
+           : ChoiceReason::LowPenalty;
+}
+
 } // namespace
 
+std::string_view
+ToString(ChoiceReason aReason)
+{
+  constexpr std::array<std::string_view, 5> names{
+    "only_one", "equal_cost", "less_load", "faster", "low_penalty"
+  };
+  return names[static_cast<std::size_t>(aReason)];
+}
+
 double
 ExpectedBacklog(const UpstreamRecord& aRecord, state::TimePoint aNow)
 {
@@ -343,19 +374,30 @@
                const PlacementRequest& aRequest,
                const PlacementPolicy& aPolicy,
                std::minstd_rand& aRandom,
-               state::TimePoint aNow)
+               state::TimePoint aNow,
+               ChoiceReason* aReason)
 {
   const auto candidates = Candidates(aPool, aRequest, aPolicy, aRandom, aNow);
   const auto service = LoadOfService(aPool, candidates, aNow);
+  const UpstreamRecord* next = nullptr;
   UpstreamRecord* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
+  double nextCost = bestCost;
   for (auto* record : candidates) {
     const double cost = Cost(*record, service, aRequest, aPolicy, aNow);
     if (cost < bestCost) {
-      best = record;
-      bestCost = cost;
+      next = std::exchange(best, record);
+      nextCost = std::exchange(bestCost, cost);
+    } else if (cost < nextCost) {
+      next = record;
+      nextCost = cost;
     }
   }
+  if (aReason != nullptr && best != nullptr) {
+    *aReason = next == nullptr        ? ChoiceReason::OnlyOne
+               : bestCost == nextCost ? ChoiceReason::EqualCost
+                                      : Compare(*best, *next, aRequest, aNow);
+  }
   return best;
 }
 
