Compute the load of a service only for feeds

With the speed of each upstream, the sum over the upstreams of a service took a quarter of the time of an opening packet, and only the cost of feeds uses it.

--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -72,6 +72,15 @@
        << kPrefix << aName << "_count " << count << '\n';
 }
 
+void
+WriteGauges(std::ostream& aOut, const std::vector<Gauge>& aGauges)
+{
+  for (const auto& gauge : aGauges) {
+    WriteHeader(aOut, gauge.mName, gauge.mHelp, "gauge");
+    aOut << kPrefix << gauge.mName << ' ' << gauge.mValue << '\n';
+  }
+}
+
 } // namespace
 
 void
@@ -172,10 +181,7 @@
                  "Time since the store last confirmed the known revision, "
                  "observed each second.",
                  aMetrics.mConfirmedAge);
-  for (const auto& gauge : aGauges) {
-    WriteHeader(out, gauge.mName, gauge.mHelp, "gauge");
-    out << kPrefix << gauge.mName << ' ' << gauge.mValue << '\n';
-  }
+  WriteGauges(out, aGauges);
   return out.str();
 }
 
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -308,10 +308,14 @@
                state::TimePoint aNow,
                ChoiceReason* aReason)
 {
-  auto service =
-    SumLoad(aPool.mIsSubset ? aPool.mLocalCandidates : aPool.mAll, aNow);
-  if (service.mSlots == 0) {
-    service = SumLoad(aPool.mAll, aNow);
+  // Only the cost of feeds depends on the load of the service.
+  ServiceLoad service;
+  if (aRequest.mLength == FlowLength::ManyRequests) {
+    service =
+      SumLoad(aPool.mIsSubset ? aPool.mLocalCandidates : aPool.mAll, aNow);
+    if (service.mSlots == 0) {
+      service = SumLoad(aPool.mAll, aNow);
+    }
   }
   const UpstreamRecord* next = nullptr;
   UpstreamRecord* best = nullptr;
