--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -378,7 +378,10 @@
                ChoiceReason* aReason)
 {
   const auto candidates = Candidates(aPool, aRequest, aPolicy, aRandom, aNow);
-  const auto service = LoadOfService(aPool, candidates, aNow);
+  // Only the cost of feeds depends on the load of the service.
+  const auto service = aRequest.mLength == FlowLength::ManyRequests
+                         ? LoadOfService(aPool, candidates, aNow)
+                         : ServiceLoad{};
   const UpstreamRecord* next = nullptr;
   UpstreamRecord* best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
