Close inherited sockets in the instances of the soak

Cause: instances inherited all sockets of the soak's process. A socket that the run closed stayed open in them, so that its address could not be bound again and a closed connection was not reset at its other end. Change: the spawned process closes all descriptors above the standard ones.

--- a/testing/soak/child_process.cpp
+++ b/testing/soak/child_process.cpp
@@ -28,6 +28,8 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kReadWrite);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that an instance inherits stays open after the run has closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error = posix_spawn(
     &mProcessId, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
