Add silent upstreams and evacuations to the soak

Cause: the soak had no failure of several upstreams at a time, which reset feeds at other upstreams for customers, and no evacuation. Change: silence-upstreams lets two to four upstreams of one service and data centre stop responding for 1 to 4.5 s; only they are excused. evacuate writes op/evacuate/ZONE and removes it; the rule EVACUATE checks opening packets from 5 s after the write. It is disabled until the daemon knows the item (kIsEvacuateEnabled).

--- a/testing/soak/plan.hpp
+++ b/testing/soak/plan.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -38,15 +39,24 @@
   RestartUpstream,      ///< An upstream loses its flows and keeps its id.
   FreezeReader, ///< Publishes a new route, and pauses the instance that reads
                 ///< it first while it hands it over.
+  SilenceUpstreams, ///< Two to four upstreams of one service and one data
+                    ///< centre stop responding at the same time, and respond
+                    ///< again.
+  Evacuate, ///< Evacuates one data centre and returns it to service. This is
+            ///< planned work.
 };
 
 /// @brief Number of kinds; the first kFirstUnplannedKind of them are planned
 /// work. Those from kFirstSeparateKind on are planned apart from the others, so
 /// that a seed goes on giving the same other faults.
-constexpr std::size_t kFaultKindCount = 21;
+constexpr std::size_t kFaultKindCount = 23;
 constexpr std::size_t kFirstUnplannedKind = 5;
 constexpr std::size_t kFirstSeparateKind = 20;
 
+/// Whether plans contain Evacuate without being asked for it. To be set once
+/// the daemon evacuates data centres.
+constexpr bool kIsEvacuateEnabled = false;
+
 /// @brief Returns the name of a kind in reports: lower-case words joined by
 /// hyphens.
 std::string_view
@@ -56,6 +66,11 @@
 bool
 IsPlanned(FaultKind aKind);
 
+/// @brief Returns the kind with a name if it is planned apart from the others,
+/// otherwise nothing.
+std::optional<FaultKind>
+FindSeparateKind(std::string_view aName);
+
 /// @brief One entry of a plan. Times count from the start of traffic.
 struct Fault
 {
@@ -72,9 +87,13 @@
 /// @param aSeed the same seed gives the same plan; a multiple of 3 gives
 /// planned work only
 /// @param aLength period from the start of traffic in which faults start
+/// @param aOnlyKind a kind that is planned apart from the others: the plan has
+/// planned work and this kind only, so that no other fault excuses violations
 /// @return faults in the order of their starts
 std::vector<Fault>
-MakePlan(std::uint64_t aSeed, std::chrono::milliseconds aLength);
+MakePlan(std::uint64_t aSeed,
+         std::chrono::milliseconds aLength,
+         std::optional<FaultKind> aOnlyKind = {});
 
 } // namespace soak
 
--- a/testing/soak/plan_test.cpp
+++ b/testing/soak/plan_test.cpp
@@ -22,7 +22,7 @@
 
 // Guards against kinds of faults that no plan contains, and against unplanned
 // faults in the runs with planned work only, where they would excuse broken
-// flows.
+// flows. Evacuate may be disabled.
 TEST(Plan, ContainsAllKindsAndPlannedWorkAlone)
 {
   std::set<FaultKind> kinds;
@@ -34,7 +34,62 @@
       EXPECT_TRUE(seed % 3 != 0 || IsPlanned(fault.mKind)) << seed;
     }
   }
-  EXPECT_EQ(kinds.size(), kFaultKindCount);
+  EXPECT_EQ(kinds.size(), kFaultKindCount - (kIsEvacuateEnabled ? 0 : 1));
+  EXPECT_EQ(kinds.contains(FaultKind::Evacuate), kIsEvacuateEnabled);
+}
+
+// Guards against a new kind that changes the plans of the others, so that seeds
+// of earlier failures no longer repeat them. The faults are those of the plan
+// before SilenceUpstreams and Evacuate were added.
+TEST(Plan, KeepsTheFaultsOfEarlierKinds)
+{
+  auto plan = MakePlan(4, milliseconds(8000));
+  std::erase_if(plan, [](const Fault& aFault) {
+    return aFault.mKind > FaultKind::FreezeReader;
+  });
+  const auto fault =
+    [](FaultKind aKind, int aStart, int aDuration, int aTarget) {
+      return Fault{ aKind,
+                    milliseconds(aStart),
+                    milliseconds(aDuration),
+                    static_cast<std::size_t>(aTarget) };
+    };
+  const std::vector<Fault> expected{
+    fault(FaultKind::IsolateInstance, 2357, 3093, 62),
+    fault(FaultKind::FreezeReader, 3535, 3500, 454),
+    fault(FaultKind::Reload, 4001, 4254, 38),
+    fault(FaultKind::StoreLosesHistory, 6271, 3472, 448),
+    fault(FaultKind::Pause, 7686, 4591, 688),
+  };
+  EXPECT_EQ(plan, expected);
+}
+
+// Guards against other unplanned faults beside the selected kind, which would
+// excuse its violations; against evacuations that overlap or end before they
+// are checked; and against silences of the wrong length.
+TEST(Plan, ContainsOnlyTheSelectedKindBesidePlannedWork)
+{
+  for (const auto kind : { FaultKind::SilenceUpstreams, FaultKind::Evacuate }) {
+    EXPECT_EQ(FindSeparateKind(ToString(kind)), kind);
+    const bool isEvacuate = kind == FaultKind::Evacuate;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      std::size_t count = 0;
+      milliseconds end{ 0 };
+      for (const auto& fault : MakePlan(seed, kLength, kind)) {
+        if (fault.mKind != kind) {
+          EXPECT_TRUE(IsPlanned(fault.mKind));
+          continue;
+        }
+        ++count;
+        EXPECT_TRUE(!isEvacuate || fault.mStart >= end) << seed;
+        end = fault.mStart + fault.mDuration;
+        EXPECT_GE(fault.mDuration, milliseconds(isEvacuate ? 8000 : 1000));
+        EXPECT_LE(fault.mDuration, milliseconds(isEvacuate ? 10000 : 4500));
+      }
+      EXPECT_GE(count, 3U) << seed;
+    }
+  }
+  EXPECT_EQ(FindSeparateKind("kill"), std::nullopt);
 }
 
 // Guards against disturbances that excuse violations for ever, and against ones
--- a/testing/soak/report.hpp
+++ b/testing/soak/report.hpp
@@ -20,6 +20,7 @@
   /// - ROUTE: a flow reached an upstream of another service.
   /// - CONFIG: an acknowledged change of routes was not in force in time.
   /// - DRAIN: a draining upstream received a new flow after the bound.
+  /// - EVACUATE: an evacuated data centre received a new flow after the bound.
   /// - FLOW: an open flow broke although no fault had disturbed it.
   /// - TWICE: a request ran more than once.
   /// - NOT-RUN: a request ran although its flow never opened for its caller, so
--- a/testing/soak/sabotage_test.sh
+++ b/testing/soak/sabotage_test.sh
@@ -5,21 +5,23 @@
 soak="$1" daemon="$2"
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
-find_fault() { # KIND RULE SEED
+find_fault() { # KIND RULE SEED [OPTION...]
   if "$soak" --seed "$3" --seconds 8 --daemon "$daemon" --folder "$work/$1" --sabotage "$1" \
-    >"$work/$1.txt" 2>&1; then
+    "${@:4}" >"$work/$1.txt" 2>&1; then
     echo "$1: not found" && return 1
   fi
   grep -q "^  $2 at" "$work/$1.txt" || { echo "$1: not reported as $2" && cat "$work/$1.txt" && return 1; }
 }
 pids=()
-while read -r kind rule seed; do
-  find_fault "$kind" "$rule" "$seed" &
+while read -r kind rule seed options; do
+  # shellcheck disable=SC2086 # several options
+  find_fault "$kind" "$rule" "$seed" $options &
   pids+=($!)
 done <<'KINDS'
 config CONFIG 6
 drain DRAIN 3
 ends ENDS 3
+evacuate EVACUATE 3 --faults evacuate
 mixed MIXED 3
 not-run NOT-RUN 3
 recover RECOVER 3
--- a/testing/soak/upstream.cpp
+++ b/testing/soak/upstream.cpp
@@ -34,6 +34,7 @@
   , mContext(aContext)
   , mEvents(std::move(aEvents))
   , mSocket(std::make_shared<DatagramSocket>(aContext, aEndpoint))
+  , mUnansweredHealth(aContext)
 {
 }
 
@@ -45,6 +46,12 @@
     [self = shared_from_this()](const auto& aFrom, const auto& aBytes) {
       self->Receive(aFrom, aBytes);
     });
+  OpenHealth();
+}
+
+void
+Upstream::OpenHealth()
+{
   auto health =
     sassafrasknot::net::HttpServer::Open(mContext, mEndpoint, [](auto) {
       return sassafrasknot::net::HttpServerResponse{ 200, "text/plain", "" };
@@ -62,9 +69,37 @@
   if (mHealth) {
     mHealth->Close();
   }
+  mUnansweredHealth.close();
   mFlows.clear();
 }
 
+void
+Upstream::Silence()
+{
+  if (mStopped || std::exchange(mIsSilent, true)) {
+    return;
+  }
+  if (mHealth) {
+    mHealth->Close();
+  }
+  // The kernel completes connections to a socket that listens.
+  const auto endpoint = ToTcp(mEndpoint);
+  mUnansweredHealth.open(endpoint.protocol());
+  mUnansweredHealth.set_option(
+    boost::asio::ip::tcp::acceptor::reuse_address(true));
+  mUnansweredHealth.bind(endpoint);
+  mUnansweredHealth.listen();
+}
+
+void
+Upstream::Respond()
+{
+  if (!mStopped && std::exchange(mIsSilent, false)) {
+    mUnansweredHealth.close();
+    OpenHealth();
+  }
+}
+
 void
 Upstream::DropFlows()
 {
@@ -74,7 +109,8 @@
 void
 Upstream::Receive(const Endpoint& aFrom, const std::vector<char>& aBytes)
 {
-  if (mStopped || !mIsReachableFrom(aFrom) || aBytes.size() < kLabelBytes) {
+  if (mStopped || mIsSilent || !mIsReachableFrom(aFrom) ||
+      aBytes.size() < kLabelBytes) {
     return;
   }
   const std::string_view bytes(aBytes.data(), aBytes.size());
@@ -244,7 +280,7 @@
 void
 Upstream::Send(const FlowEndpoints& aEndpoints, WirePacket aPacket)
 {
-  if (mStopped) {
+  if (mStopped || mIsSilent) {
     return;
   }
   aPacket.mSource = aEndpoints.second;
--- a/testing/soak/upstream.hpp
+++ b/testing/soak/upstream.hpp
@@ -64,6 +64,12 @@
   /// @param aFrom endpoint of the sending instance
   /// @param aBytes label and encoded packet
   void Receive(const Endpoint& aFrom, const std::vector<char>& aBytes);
+  /// @brief Stops responding, as a process that is stuck does: datagrams are
+  /// discarded, none are sent, and health checks connect but get no answer.
+  /// Open flows are kept.
+  void Silence();
+  /// @brief Ends the effect of Silence.
+  void Respond();
   /// @brief Drops all flows, as a restart of the process does.
   void DropFlows();
 
@@ -77,6 +83,8 @@
   const Endpoint mEndpoint;
   /// Set by Stop.
   bool mStopped = false;
+  /// Set by Silence, cleared by Respond.
+  bool mIsSilent = false;
 
 private:
   struct Flow
@@ -94,6 +102,8 @@
     std::string mUnacknowledged;
   };
 
+  /// Starts to answer health checks.
+  void OpenHealth();
   void OnPacket(const Endpoint& aFrom, const WirePacket& aPacket);
   void OnOpening(const Endpoint& aFrom, const WirePacket& aPacket);
   void OnData(Flow& aFlow,
@@ -114,6 +124,8 @@
   UpstreamEvents mEvents;
   std::shared_ptr<DatagramSocket> mSocket;
   std::shared_ptr<sassafrasknot::net::HttpServer> mHealth;
+  /// Open in place of mHealth during Silence; accepts no connection.
+  boost::asio::ip::tcp::acceptor mUnansweredHealth;
   std::mt19937 mRandom;
   std::map<FlowEndpoints, Flow> mFlows;
 };
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -310,7 +310,8 @@
     ScheduleDeliberateFault();
   });
   milliseconds end = mOptions.mLength;
-  for (const auto& fault : MakePlan(mOptions.mSeed, mOptions.mLength)) {
+  for (const auto& fault :
+       MakePlan(mOptions.mSeed, mOptions.mLength, mOptions.mOnlyKind)) {
     end = std::max(end, fault.mStart + fault.mDuration);
     RunAfter(mContext, kStartupTime + fault.mStart, [this, fault] {
       InjectFault(fault);
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -53,7 +53,7 @@
   std::uint64_t mSeed = 1;
   std::size_t mInstances = 6;
   std::size_t mDataCentres = 2;
-  std::size_t mUpstreams = 10;
+  std::size_t mUpstreams = 18;
   std::size_t mCallers = 6;
   /// Mean number of open feeds, and of requests per second of each other kind.
   std::size_t mFeeds = 40;
@@ -64,6 +64,9 @@
   std::string mDaemon;
   /// Existing folder for the settings and logs of instances.
   std::string mFolder;
+  /// Kind of faults that the plan has beside planned work, or nothing for all
+  /// kinds; see MakePlan.
+  std::optional<FaultKind> mOnlyKind;
   /// Kind of the deliberate fault that a check must find, or empty.
   std::string mSabotage;
 };
@@ -204,6 +207,14 @@
   void PauseFirstSource(std::chrono::milliseconds aDuration);
   /// Sends SIGSTOP to an instance's process, and SIGCONT after a time.
   void Pause(Instance& aInstance, std::chrono::milliseconds aDuration);
+  /// Lets a group of upstreams stop responding for a time.
+  void SilenceUpstreams(const Fault& aFault);
+  /// Selects two to four upstreams of one service and one data centre that
+  /// respond, and leaves at least one there.
+  /// @return the upstreams, or none if too few are left
+  std::vector<std::shared_ptr<Upstream>> PickUpstreamGroup(std::size_t aTarget);
+  /// Writes the item that evacuates a data centre, and later removes it.
+  void Evacuate(const Fault& aFault);
   /// Adds an upstream of the same service and starts to drain the old one.
   void ReplaceUpstream(Upstream& aOld);
   /// Schedules the deliberate faults of --sabotage that happen at a given time.
@@ -214,13 +225,20 @@
                      const std::string& aBytes);
 
   UpstreamEvents MakeUpstreamEvents(const std::string& aService,
-                                    std::uint64_t aLabel);
+                                    std::uint64_t aLabel,
+                                    const std::string& aDataCentre);
   CallerEvents MakeCallerEvents();
   /// Checks the rules ROUTE, DRAIN and CONFIG on an opening packet.
   void CheckOpening(const std::string& aService,
                     std::uint64_t aLabel,
                     const FlowEndpoints& aEndpoints,
                     const Instance& aFrom);
+  /// Checks the rule EVACUATE on an opening packet: a data centre that has been
+  /// evacuated for longer than the bound receives no new flow.
+  void CheckEvacuation(std::uint64_t aLabel,
+                       const std::string& aDataCentre,
+                       const FlowEndpoints& aEndpoints,
+                       const Instance& aFrom);
   /// Returns whether rules with a time bound apply to an instance: neither it,
   /// its process's start nor the store was disturbed recently.
   bool IsInstanceStable(const Instance& aInstance) const;
@@ -263,6 +281,8 @@
   std::vector<TestRoute> mTestRoutes;
   /// When the store acknowledged the drain of an upstream, by label.
   std::map<std::uint64_t, Clock::time_point> mDrainTimes;
+  /// When the store acknowledged the evacuation of a data centre, by its name.
+  std::map<std::string, Clock::time_point> mEvacuationTimes;
   std::map<FlowEndpoints, FlowRecord> mFlows;
   /// Number of runs of each request, by its id.
   std::map<std::string, int> mRuns;
--- a/testing/soak/world_checks.cpp
+++ b/testing/soak/world_checks.cpp
@@ -67,7 +67,9 @@
 }
 
 UpstreamEvents
-World::MakeUpstreamEvents(const std::string& aService, std::uint64_t aLabel)
+World::MakeUpstreamEvents(const std::string& aService,
+                          std::uint64_t aLabel,
+                          const std::string& aDataCentre)
 {
   UpstreamEvents events;
   events.mOnInvalidPacket = [this](const auto& aEndpoints,
@@ -92,6 +94,7 @@
   events.mOnOpeningReceived = [=, this](const auto& aEndpoints,
                                         const auto& aFrom) {
     CheckOpening(aService, aLabel, aEndpoints, InstanceAt(aFrom));
+    CheckEvacuation(aLabel, aDataCentre, aEndpoints, InstanceAt(aFrom));
   };
   events.mOnFlowOpened = [=, this](const auto& aEndpoints) {
     mFlows[aEndpoints] = { aLabel, true, Clock::now() };
--- a/testing/soak/world_faults.cpp
+++ b/testing/soak/world_faults.cpp
@@ -56,6 +56,12 @@
     case FaultKind::StoreLosesHistory:
       InjectStoreFault(aFault);
       break;
+    case FaultKind::SilenceUpstreams:
+      SilenceUpstreams(aFault);
+      break;
+    case FaultKind::Evacuate:
+      Evacuate(aFault);
+      break;
     case FaultKind::ReplaceUpstream:
     case FaultKind::CrashUpstream:
     case FaultKind::RestartUpstream:
--- /dev/null
+++ b/testing/soak/world_outages.cpp
@@ -0,0 +1,106 @@
+#include <algorithm>
+
+#include "world.hpp"
+
+namespace soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Prefix of the key of the item that evacuates a data centre.
+constexpr const char* kEvacuationPrefix = "op/evacuate/";
+/// Bound of the platform (`evacuate_ms`) on the time from the store's
+/// acknowledgement of an evacuation until no new flow reaches the data centre.
+constexpr milliseconds kEvacuationBound{ 5000 };
+
+} // namespace
+
+std::vector<std::shared_ptr<Upstream>>
+World::PickUpstreamGroup(std::size_t aTarget)
+{
+  // The parts of the target select the number of upstreams, the data centre and
+  // the service. Most groups are of "desk", whose flows may be reset.
+  constexpr std::size_t kMinSilent = 2;
+  constexpr std::size_t kSizes = 3;
+  constexpr std::size_t kServiceShare = 4;
+  const auto size = kMinSilent + aTarget % kSizes;
+  const auto dataCentre = DataCentreOf(aTarget / kSizes);
+  const std::string service =
+    aTarget / (kSizes * mOptions.mDataCentres) % kServiceShare == 0 ? "intake"
+                                                                    : "desk";
+  std::vector<std::shared_ptr<Upstream>> group;
+  std::ranges::copy_if(
+    mUpstreams, std::back_inserter(group), [&](const auto& aUpstream) {
+      return aUpstream->mService == service &&
+             DataCentreOf(HostNumber(aUpstream->mEndpoint)) == dataCentre &&
+             !aUpstream->mStopped && !aUpstream->mDraining &&
+             !aUpstream->mIsSilent;
+    });
+  if (group.size() <= kMinSilent) {
+    return {};
+  }
+  const auto first =
+    group.begin() + static_cast<std::ptrdiff_t>(aTarget % group.size());
+  std::rotate(group.begin(), first, group.end());
+  group.resize(std::min(size, group.size() - 1));
+  return group;
+}
+
+void
+World::SilenceUpstreams(const Fault& aFault)
+{
+  // Only these upstreams are disturbed, so that a reset of a flow at any other
+  // one is a violation.
+  const auto group = PickUpstreamGroup(aFault.mTarget);
+  for (const auto& upstream : group) {
+    DisturbComponent(FormatLabel(upstream->mLabel), aFault.mDuration);
+    upstream->Silence();
+  }
+  RunAfter(mContext, aFault.mDuration, [group] {
+    for (const auto& upstream : group) {
+      upstream->Respond();
+    }
+  });
+}
+
+void
+World::Evacuate(const Fault& aFault)
+{
+  const auto dataCentre = DataCentreOf(aFault.mTarget);
+  const auto key = kEvacuationPrefix + dataCentre;
+  if (mOptions.mSabotage != "evacuate") {
+    mStore->Put(key, "{}");
+  }
+  mEvacuationTimes[dataCentre] = Clock::now();
+  RunAfter(mContext, aFault.mDuration, [this, dataCentre, key] {
+    mEvacuationTimes.erase(dataCentre);
+    mStore->Delete(key);
+  });
+}
+
+void
+World::CheckEvacuation(std::uint64_t aLabel,
+                       const std::string& aDataCentre,
+                       const FlowEndpoints& aEndpoints,
+                       const Instance& aFrom)
+{
+  const auto started = mEvacuationTimes.find(aDataCentre);
+  if (started == mEvacuationTimes.end() ||
+      Clock::now() - started->second <= kEvacuationBound ||
+      !IsInstanceStable(aFrom)) {
+    return;
+  }
+  // A copy of an opening packet that arrives late belongs to an open flow,
+  // which keeps its upstream.
+  const auto found = mFlows.find(aEndpoints);
+  if (found == mFlows.end() || !found->second.mIsOpen ||
+      found->second.mLabel != aLabel) {
+    RecordViolation("EVACUATE",
+                    aEndpoints,
+                    "upstream " + FormatLabel(aLabel) + " is in " +
+                      aDataCentre + ", which is evacuated");
+  }
+}
+
+} // namespace soak
--- a/testing/soak/world_setup.cpp
+++ b/testing/soak/world_setup.cpp
@@ -148,7 +148,11 @@
   const auto number = mNextUpstream++;
   const auto endpoint = mAddresses.Upstream(number);
   auto upstream = std::make_shared<Upstream>(
-    mContext, aLabel, aService, endpoint, MakeUpstreamEvents(aService, aLabel));
+    mContext,
+    aLabel,
+    aService,
+    endpoint,
+    MakeUpstreamEvents(aService, aLabel, DataCentreOf(number)));
   upstream->mIsReachableFrom = [this, number](const Endpoint& aFrom) {
     const auto& instance = InstanceAt(aFrom);
     return !IsPartitionedFrom(instance, number) &&
