Lose one packet at each upstream while others are silent

Cause: with upstreams in both data centres nearly all flows were local, and no packet was lost but by faults that excuse broken flows. Instances judge only other data centres as a whole, and reset a flow wrongly when one packet is lost while its data centre appears to be unreachable. Change: a third data centre has instances and callers but no upstreams. During a silence each other upstream loses one packet of an open flow, which excuses nothing.

--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -68,6 +68,9 @@
   if (mOptions.mSabotage == "reset") {
     ResetOpenFlow(aEndpoints, aBytes);
   }
+  if (IsLostDuringSilence(aEndpoints)) {
+    return;
+  }
   const auto instances = ReadyInstances(DataCentreOf(aCaller));
   const auto hash = state::Hash({ aEndpoints.first, aEndpoints.second });
   const auto& instance = *instances[hash % instances.size()];
@@ -119,7 +122,7 @@
 World::IsPartitionedFrom(const Instance& aInstance,
                          std::size_t aUpstreamNumber) const
 {
-  const auto dataCentre = DataCentreOf(aUpstreamNumber);
+  const auto dataCentre = UpstreamDataCentreOf(aUpstreamNumber);
   return mDataCentrePartitions > 0 && dataCentre != aInstance.mDataCentre &&
          (dataCentre == "a" || aInstance.mDataCentre == "a");
 }
@@ -130,6 +133,12 @@
   return { static_cast<char>('a' + aNumber % mOptions.mDataCentres) };
 }
 
+std::string
+World::UpstreamDataCentreOf(std::size_t aNumber) const
+{
+  return DataCentreOf(aNumber % mOptions.mUpstreamDataCentres);
+}
+
 Instance&
 World::InstanceAt(const Endpoint& aEndpoint)
 {
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -52,7 +52,10 @@
 {
   std::uint64_t mSeed = 1;
   std::size_t mInstances = 6;
-  std::size_t mDataCentres = 2;
+  std::size_t mDataCentres = 3;
+  /// The first data centres have upstreams. All flows of the others cross data
+  /// centres, where instances detect failures by fewer packets.
+  std::size_t mUpstreamDataCentres = 2;
   std::size_t mUpstreams = 18;
   std::size_t mCallers = 6;
   /// Mean number of open feeds, and of requests per second of each other kind.
@@ -209,6 +212,9 @@
   void Pause(Instance& aInstance, std::chrono::milliseconds aDuration);
   /// Lets a group of upstreams stop responding for a time.
   void SilenceUpstreams(const Fault& aFault);
+  /// Returns whether a caller's packet is lost while upstreams are silent: each
+  /// other upstream loses one packet of an open flow.
+  bool IsLostDuringSilence(const FlowEndpoints& aEndpoints);
   /// Selects two to four upstreams of one service and one data centre that
   /// respond, and leaves at least one there.
   /// @return the upstreams, or none if too few are left
@@ -251,8 +257,10 @@
   bool IsRouteRemoved(const FlowEndpoints& aEndpoints,
                       Clock::time_point aOpeningTime) const;
 
-  /// Returns the data centre of the instance, upstream or caller with a number.
+  /// Returns the data centre of the instance or caller with a number.
   std::string DataCentreOf(std::size_t aNumber) const;
+  /// Returns the data centre of the upstream with a number.
+  std::string UpstreamDataCentreOf(std::size_t aNumber) const;
   /// Returns the instance with an endpoint of its own or of its relay.
   Instance& InstanceAt(const Endpoint& aEndpoint);
   /// Selects an upstream for a fault, or returns null if too few are left.
@@ -297,6 +305,10 @@
   std::uint64_t mNextStartTime = 1;
   /// Share of packets that are lost; also of those that are late or repeated.
   double mLoss = 0;
+  /// Labels of the upstreams that lose no packet in the current silence, since
+  /// they are silent or have lost one.
+  std::set<std::uint64_t> mLossless;
+  int mActiveSilences = 0;
   /// Number of active partitions, and of active faults of the store.
   int mDataCentrePartitions = 0;
   int mActiveStoreFaults = 0;
--- a/testing/soak/world_outages.cpp
+++ b/testing/soak/world_outages.cpp
@@ -13,6 +13,9 @@
 /// Bound of the platform (`evacuate_ms`) on the time from the store's
 /// acknowledgement of an evacuation until no new flow reaches the data centre.
 constexpr milliseconds kEvacuationBound{ 5000 };
+/// Share of packets that are lost until each upstream has lost one. Most are
+/// lost in the first second, before probes have shown which upstreams respond.
+constexpr double kSilenceLossShare = 0.03;
 
 } // namespace
 
@@ -25,15 +28,17 @@
   constexpr std::size_t kSizes = 3;
   constexpr std::size_t kServiceShare = 4;
   const auto size = kMinSilent + aTarget % kSizes;
-  const auto dataCentre = DataCentreOf(aTarget / kSizes);
+  const auto dataCentre = UpstreamDataCentreOf(aTarget / kSizes);
   const std::string service =
-    aTarget / (kSizes * mOptions.mDataCentres) % kServiceShare == 0 ? "intake"
-                                                                    : "desk";
+    aTarget / (kSizes * mOptions.mUpstreamDataCentres) % kServiceShare == 0
+      ? "intake"
+      : "desk";
   std::vector<std::shared_ptr<Upstream>> group;
   std::ranges::copy_if(
     mUpstreams, std::back_inserter(group), [&](const auto& aUpstream) {
       return aUpstream->mService == service &&
-             DataCentreOf(HostNumber(aUpstream->mEndpoint)) == dataCentre &&
+             UpstreamDataCentreOf(HostNumber(aUpstream->mEndpoint)) ==
+               dataCentre &&
              !aUpstream->mStopped && !aUpstream->mDraining &&
              !aUpstream->mIsSilent;
     });
@@ -53,21 +58,39 @@
   // Only these upstreams are disturbed, so that a reset of a flow at any other
   // one is a violation.
   const auto group = PickUpstreamGroup(aFault.mTarget);
+  ++mActiveSilences;
+  mLossless.clear();
   for (const auto& upstream : group) {
+    mLossless.insert(upstream->mLabel);
     DisturbComponent(FormatLabel(upstream->mLabel), aFault.mDuration);
     upstream->Silence();
   }
-  RunAfter(mContext, aFault.mDuration, [group] {
+  RunAfter(mContext, aFault.mDuration, [this, group] {
+    --mActiveSilences;
     for (const auto& upstream : group) {
       upstream->Respond();
     }
   });
 }
 
+bool
+World::IsLostDuringSilence(const FlowEndpoints& aEndpoints)
+{
+  if (mActiveSilences == 0) {
+    return false;
+  }
+  // A single lost packet is no evidence of a failure, although silent upstreams
+  // of the same data centre make others suspicious.
+  const auto found = mFlows.find(aEndpoints);
+  return found != mFlows.end() && !mLossless.contains(found->second.mLabel) &&
+         std::bernoulli_distribution(kSilenceLossShare)(mRandom) &&
+         mLossless.insert(found->second.mLabel).second;
+}
+
 void
 World::Evacuate(const Fault& aFault)
 {
-  const auto dataCentre = DataCentreOf(aFault.mTarget);
+  const auto dataCentre = UpstreamDataCentreOf(aFault.mTarget);
   const auto key = kEvacuationPrefix + dataCentre;
   if (mOptions.mSabotage != "evacuate") {
     mStore->Put(key, "{}");
--- a/testing/soak/world_setup.cpp
+++ b/testing/soak/world_setup.cpp
@@ -152,7 +152,7 @@
     aLabel,
     aService,
     endpoint,
-    MakeUpstreamEvents(aService, aLabel, DataCentreOf(number)));
+    MakeUpstreamEvents(aService, aLabel, UpstreamDataCentreOf(number)));
   upstream->mIsReachableFrom = [this, number](const Endpoint& aFrom) {
     const auto& instance = InstanceAt(aFrom);
     return !IsPartitionedFrom(instance, number) &&
@@ -170,7 +170,8 @@
   upstream.mId = FormatId(aUpstream);
   upstream.mService = aUpstream.mService;
   upstream.mAddress = aUpstream.mEndpoint;
-  upstream.mDataCentre = { DataCentreOf(HostNumber(aUpstream.mEndpoint)) };
+  upstream.mDataCentre = { UpstreamDataCentreOf(
+    HostNumber(aUpstream.mEndpoint)) };
   upstream.mSlots = 2;
   upstream.mDraining = aUpstream.mDraining;
   upstream.mStarted = milliseconds(mNextStartTime++);
