--- a/testing/soak/sabotage_test.sh
+++ b/testing/soak/sabotage_test.sh
@@ -27,6 +27,7 @@
 recover RECOVER 3
 reset FLOW 3
 route ROUTE 3
+silence FLOW 3 --faults silence-upstreams
 twice TWICE 3
 unasked UNASKED 3
 KINDS
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -65,7 +65,8 @@
                    const FlowEndpoints& aEndpoints,
                    const std::string& aBytes)
 {
-  if (mOptions.mSabotage == "reset") {
+  if (mOptions.mSabotage == "reset" ||
+      (mOptions.mSabotage == "silence" && mActiveSilences > 0)) {
     ResetOpenFlow(aEndpoints, aBytes);
   }
   if (IsLostDuringSilence(aEndpoints)) {
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -225,8 +225,8 @@
   void ReplaceUpstream(Upstream& aOld);
   /// Schedules the deliberate faults of --sabotage that happen at a given time.
   void ScheduleDeliberateFault();
-  /// Injects the deliberate fault `reset`: resets the flow of a packet if it is
-  /// open and no fault disturbs it.
+  /// Injects the deliberate faults `reset` and `silence`: resets the flow of a
+  /// packet if it is open and no fault disturbs it.
   void ResetOpenFlow(const FlowEndpoints& aEndpoints,
                      const std::string& aBytes);
 
