--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -65,9 +65,13 @@
                    const FlowEndpoints& aEndpoints,
                    const std::string& aBytes)
 {
-  if (mOptions.mSabotage == "reset") {
+  if (mOptions.mSabotage == "reset" ||
+      (mOptions.mSabotage == "silence" && mActiveSilences > 0)) {
     ResetOpenFlow(aEndpoints, aBytes);
   }
+  if (IsLostDuringSilence(aEndpoints)) {
+    return;
+  }
   const auto instances = ReadyInstances(DataCentreOf(aCaller));
   const auto hash = state::Hash({ aEndpoints.first, aEndpoints.second });
   const auto& instance = *instances[hash % instances.size()];
@@ -119,7 +123,7 @@
 World::IsPartitionedFrom(const Instance& aInstance,
                          std::size_t aUpstreamNumber) const
 {
-  const auto dataCentre = DataCentreOf(aUpstreamNumber);
+  const auto dataCentre = UpstreamDataCentreOf(aUpstreamNumber);
   return mDataCentrePartitions > 0 && dataCentre != aInstance.mDataCentre &&
          (dataCentre == "a" || aInstance.mDataCentre == "a");
 }
@@ -130,6 +134,12 @@
   return { static_cast<char>('a' + aNumber % mOptions.mDataCentres) };
 }
 
+std::string
+World::UpstreamDataCentreOf(std::size_t aNumber) const
+{
+  return DataCentreOf(aNumber % mOptions.mUpstreamDataCentres);
+}
+
 Instance&
 World::InstanceAt(const Endpoint& aEndpoint)
 {
@@ -310,7 +320,8 @@
     ScheduleDeliberateFault();
   });
   milliseconds end = mOptions.mLength;
-  for (const auto& fault : MakePlan(mOptions.mSeed, mOptions.mLength)) {
+  for (const auto& fault :
+       MakePlan(mOptions.mSeed, mOptions.mLength, mOptions.mOnlyKind)) {
     end = std::max(end, fault.mStart + fault.mDuration);
     RunAfter(mContext, kStartupTime + fault.mStart, [this, fault] {
       InjectFault(fault);
