Evacuate data centres in all plans of the soak

Cause: the soak had the fault and its check, disabled until the daemon knew the item. Change: all plans contain it; the constant that disabled it is removed, and the test of the kinds expects all of them again.

--- a/testing/soak/plan.cpp
+++ b/testing/soak/plan.cpp
@@ -111,7 +111,7 @@
   if (aOnlyKind) {
     return aKind == *aOnlyKind;
   }
-  return aKind == FaultKind::Evacuate ? kIsEvacuateEnabled : !aIsPlannedOnly;
+  return IsPlanned(aKind) || !aIsPlannedOnly;
 }
 
 } // namespace
--- a/testing/soak/plan.hpp
+++ b/testing/soak/plan.hpp
@@ -53,10 +53,6 @@
 constexpr std::size_t kFirstUnplannedKind = 5;
 constexpr std::size_t kFirstSeparateKind = 20;
 
-/// Whether plans contain Evacuate without being asked for it. To be set once
-/// the daemon evacuates data centres.
-constexpr bool kIsEvacuateEnabled = false;
-
 /// @brief Returns the name of a kind in reports: lower-case words joined by
 /// hyphens.
 std::string_view
--- a/testing/soak/plan_test.cpp
+++ b/testing/soak/plan_test.cpp
@@ -22,7 +22,7 @@
 
 // Guards against kinds of faults that no plan contains, and against unplanned
 // faults in the runs with planned work only, where they would excuse broken
-// flows. Evacuate may be disabled.
+// flows.
 TEST(Plan, ContainsAllKindsAndPlannedWorkAlone)
 {
   std::set<FaultKind> kinds;
@@ -34,8 +34,7 @@
       EXPECT_TRUE(seed % 3 != 0 || IsPlanned(fault.mKind)) << seed;
     }
   }
-  EXPECT_EQ(kinds.size(), kFaultKindCount - (kIsEvacuateEnabled ? 0 : 1));
-  EXPECT_EQ(kinds.contains(FaultKind::Evacuate), kIsEvacuateEnabled);
+  EXPECT_EQ(kinds.size(), kFaultKindCount);
 }
 
 // Guards against a new kind that changes the plans of the others, so that seeds
