--- a/testing/soak/sabotage_test.sh
+++ b/testing/soak/sabotage_test.sh
@@ -12,6 +12,8 @@
   fi
   grep -q "^  $2 at" "$work/$1.txt" || { echo "$1: not reported as $2" && cat "$work/$1.txt" && return 1; }
 }
+# Seed 9 for drain: in the plan of seed 3, the leaving upstream is in a data
+# centre that is evacuated, so that it receives no flow in any case.
 pids=()
 while read -r kind rule seed options; do
   # shellcheck disable=SC2086 # several options
@@ -19,7 +21,7 @@
   pids+=($!)
 done <<'KINDS'
 config CONFIG 6
-drain DRAIN 3
+drain DRAIN 9
 ends ENDS 3
 evacuate EVACUATE 3 --faults evacuate
 mixed MIXED 3
