Count no missing answers of packets that a full queue may have dropped

Cause: the link's buffer drops packets before the estimated backlog reaches the 50 ms that count as congestion. Such a moment takes packets of many flows at once, so that two losses at one upstream are no coincidence. They made it unresponsive, and its flows were reset.

Evidence: a trial with a trace of each retransmission. All resets were of packets forwarded at a backlog of 42 to 50 ms, while handshakes took 20 to 40 ms; retransmissions came in groups of ten within 25 ms, at as many upstreams. Ruled out: slow handshakes, stalls, silent upstreams.

Change: a packet that enters a queue of more than one caller's window (20 KB) is no evidence if its answer is missing. Its copy, forwarded on an empty link, is. This holds for opening packets, too.

Tests: FailureDetector.PacketsThatAFullQueueMayHaveDroppedAreNoEvidence fails on the code before (both second retransmissions reset); LinkMonitor.MayDropPacketsOnlyInAQueueOfSeveralUploads.

--- a/include/sassafrasknot/flows/link_monitor.hpp
+++ b/include/sassafrasknot/flows/link_monitor.hpp
@@ -31,6 +31,11 @@
 /// The link is congested if a packet would wait this long in its queue. Half of
 /// the rest of kAnswerTimeout: the queue towards this instance may be as long.
 constexpr std::chrono::milliseconds kCongestedBacklog{ 50 };
+/// A packet that enters a longer queue may be dropped there. The size of the
+/// link's buffer is not known; this one holds what a single caller may have in
+/// flight, which is 16 packets of 1,200 bytes, so that a smaller buffer would
+/// drop packets of every upload.
+constexpr double kSafeQueueBytes = 16 * (1200 + kPacketHeaderBytes);
 /// A handshake that takes longer was delayed on the way: an upstream answers an
 /// opening packet within a few round trips, whatever its load.
 constexpr std::chrono::milliseconds kSlowHandshake{ 75 };
@@ -73,6 +78,14 @@
 bool
 HasSlowHandshakes(const LinkMonitor& aMonitor, state::TimePoint aNow);
 
+/// @brief Returns whether a packet that is forwarded now may be dropped because
+/// the queue of this instance's own link is full.
+/// @param aMonitor the monitor
+/// @param aNow current time on the steady clock
+/// @return whether the queue is longer than kSafeQueueBytes
+bool
+MayDropPacket(const LinkMonitor& aMonitor, state::TimePoint aNow);
+
 /// @brief Returns whether packets are delayed on this instance's own link.
 /// @param aMonitor the monitor
 /// @param aNow current time on the steady clock
--- a/src/sassafrasknot/flows/failure_detector_test.cpp
+++ b/src/sassafrasknot/flows/failure_detector_test.cpp
@@ -294,6 +294,21 @@
   EXPECT_EQ(decision.mAction, PacketAction::Forward);
 }
 
+/// Sends the packets of an upload to i-2, four each millisecond.
+void
+SendUpload(RouterFixture& aFixture, std::uint32_t aPackets, milliseconds aStart)
+{
+  for (std::uint32_t packet = 0; packet < aPackets; ++packet) {
+    aFixture.Send(7,
+                  kRequestPort,
+                  TokenOf("i-2"),
+                  1 + packet * 1200,
+                  1,
+                  1200,
+                  aStart + milliseconds(packet / 4));
+  }
+}
+
 /// Two feeds with unanswered requests at an instance whose link has 10 Mbit/s
 /// while an upload of the given size passes through it.
 Decision
@@ -301,15 +316,7 @@
 {
   TwoUnansweredFeeds fixture;
   fixture.mRouter.mLink = MakeLinkMonitor(10);
-  for (std::uint32_t packet = 0; packet < aUploadPackets; ++packet) {
-    fixture.Send(7,
-                 kRequestPort,
-                 TokenOf("i-2"),
-                 1 + packet * 1200,
-                 1,
-                 1200,
-                 milliseconds(90 + packet / 4));
-  }
+  SendUpload(fixture, aUploadPackets, milliseconds(90));
   SendRequest(fixture, 1, fixture.mToken, milliseconds(300));
   return SendRequest(fixture, 2, fixture.mToken, milliseconds(310));
 }
@@ -323,6 +330,32 @@
   EXPECT_EQ(RetransmitBesideUpload(20).mAction, PacketAction::Reset);
 }
 
+// Guards against resets in a burst that fills the link's queue for moments
+// only: a buffer may drop packets long before they would be late. One such
+// moment takes packets of several flows, so that two losses are no coincidence.
+TEST(FailureDetector, PacketsThatAFullQueueMayHaveDroppedAreNoEvidence)
+{
+  TwoUnansweredFeeds fixture;
+  fixture.mRouter.mLink = MakeLinkMonitor(10);
+  for (const std::uint16_t port : { 1, 2 }) {
+    fixture.Send(
+      port, kFeedPort, fixture.mToken, 171, 400, 0, milliseconds(260));
+  }
+  SendUpload(fixture, 40, milliseconds(280));
+  const auto request = [&](std::uint16_t aPort, milliseconds aTime) {
+    return fixture.Send(aPort, kFeedPort, fixture.mToken, 171, 400, 170, aTime);
+  };
+  request(1, milliseconds(290));
+  request(2, milliseconds(291));
+  fixture.mRouter.mLinkVerifiedAt = At(milliseconds(450));
+  EXPECT_EQ(request(1, milliseconds(491)).mAction, PacketAction::Forward);
+  EXPECT_EQ(request(2, milliseconds(492)).mAction, PacketAction::Forward);
+  EXPECT_TRUE(AbandonUnansweredRequests(fixture.mRouter).empty());
+  // On an empty link, the second missing answers count.
+  EXPECT_EQ(request(1, milliseconds(892)).mAction, PacketAction::Forward);
+  EXPECT_EQ(request(2, milliseconds(893)).mAction, PacketAction::Reset);
+}
+
 // Guards against the same where the queue is in the network towards this
 // instance: it shows as handshakes that are slow at all upstreams alike.
 TEST(FailureDetector, SlowHandshakesAtAllUpstreamsAreNoEvidence)
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -197,6 +197,7 @@
     const bool isOpenUnanswered =
       !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
     if (isOpenUnanswered && entry.mMissingAnswers == 0 &&
+        !entry.mMayBeDropped &&
         entry.mOpenSent >= aRouter.mIgnoreEvidenceBefore) {
       entry.mMissingAnswers = 1;
       aRouter.mOpens.mUnanswered += 1;
--- a/src/sassafrasknot/flows/link_monitor.cpp
+++ b/src/sassafrasknot/flows/link_monitor.cpp
@@ -74,6 +74,13 @@
          aMonitor.mSlowHandshakes > kMaxSlowHandshakeShare * handshakes;
 }
 
+bool
+MayDropPacket(const LinkMonitor& aMonitor, state::TimePoint aNow)
+{
+  return aMonitor.mBytesPerSecond > 0 &&
+         BacklogAt(aMonitor, aNow) > kSafeQueueBytes;
+}
+
 bool
 IsCongested(const LinkMonitor& aMonitor, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/link_monitor_test.cpp
+++ b/src/sassafrasknot/flows/link_monitor_test.cpp
@@ -33,6 +33,23 @@
   EXPECT_FALSE(IsCongested(monitor, At(milliseconds(600))));
 }
 
+// Guards against evidence from packets that a short buffer drops, and against
+// an instance that ignores failures because of each single upload.
+TEST(LinkMonitor, MayDropPacketsOnlyInAQueueOfSeveralUploads)
+{
+  auto monitor = MakeLinkMonitor(10);
+  const auto forward = [&](int aPackets) {
+    for (int packet = 0; packet < aPackets; ++packet) {
+      RecordForwarded(monitor, 1200, At(milliseconds(0)));
+    }
+  };
+  forward(16);
+  EXPECT_FALSE(MayDropPacket(monitor, At(milliseconds(0))));
+  forward(16);
+  EXPECT_TRUE(MayDropPacket(monitor, At(milliseconds(0))));
+  EXPECT_FALSE(MayDropPacket(monitor, At(milliseconds(25))));
+}
+
 // Guards against an instance that ignores failures for ever because its
 // settings do not name a bandwidth.
 TEST(LinkMonitor, AnUnknownBandwidthIsNeverCongested)
--- a/src/sassafrasknot/flows/router_established.cpp
+++ b/src/sassafrasknot/flows/router_established.cpp
@@ -104,16 +104,35 @@
 
 /// Returns whether a retransmission of a packet forwarded at aSent shows that
 /// its answer is missing: neither did another packet overtake it, nor was this
-/// process stalled since.
+/// process stalled since, nor may it have been dropped on this instance's own
+/// link.
 bool
 IsMissingAnswer(const FlowRouter& aRouter,
                 state::TimePoint aSent,
+                bool aMayBeDropped,
                 state::TimePoint aNow)
 {
-  return aNow - aSent >= kAnswerTimeout &&
+  return !aMayBeDropped && aNow - aSent >= kAnswerTimeout &&
          aSent >= aRouter.mIgnoreEvidenceBefore;
 }
 
+/// Records whether the packet may be dropped on this instance's own link. It
+/// counts until an answer shows that the packets have arrived.
+void
+RecordPossibleDrop(const FlowRouter& aRouter,
+                   FlowEntry& aEntry,
+                   const CallerPacket& aPacket,
+                   const PacketFindings& aFindings,
+                   state::TimePoint aNow)
+{
+  if (aFindings.mAnswered) {
+    aEntry.mMayBeDropped = false;
+  }
+  if (aPacket.mPayloadBytes > 0 && !aFindings.mRetransmitted) {
+    aEntry.mMayBeDropped |= MayDropPacket(aRouter.mLink, aNow);
+  }
+}
+
 /// Records that a caller has retransmitted data of an active request. Only the
 /// first missing answer counts as evidence of a further flow.
 void
@@ -123,7 +142,9 @@
                         state::TimePoint aNow)
 {
   const auto lastSent = std::exchange(aEntry.mLastDataSent, aNow);
-  if (!IsMissingAnswer(aRouter, lastSent, aNow)) {
+  const bool mayBeDropped =
+    std::exchange(aEntry.mMayBeDropped, MayDropPacket(aRouter.mLink, aNow));
+  if (!IsMissingAnswer(aRouter, lastSent, mayBeDropped, aNow)) {
     return;
   }
   if (++aEntry.mMissingAnswers == 1) {
@@ -179,6 +200,7 @@
   const auto requestsBefore = aEntry.mRequests;
   const bool foundFreeSlot = aEntry.mFoundFreeSlot;
   const auto findings = RecordPacket(aEntry, aPacket, aNow);
+  RecordPossibleDrop(aRouter, aEntry, aPacket, findings, aNow);
   // The first request of a flow that was placed here is counted since then.
   if (aEntry.mRequests > requestsBefore &&
       (requestsBefore > 0 || !aEntry.mOpenedHere)) {
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -102,6 +102,7 @@
   entry.mLength = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
   entry.mOpenedHere = true;
   entry.mOpenSent = aNow;
+  entry.mMayBeDropped = MayDropPacket(aRouter.mLink, aNow);
   entry.mLastPacket = aNow;
   entry.mCountedInLoad = true;
   // A caller opens a flow to send a request, which therefore counts already.
@@ -251,7 +252,7 @@
              state::Verdict::NotRun,
              record };
   }
-  if (record != nullptr) {
+  if (record != nullptr && !entry.mMayBeDropped) {
     HandleRetransmission(
       aRouter, *record, RetransmittedPacket::Open, entry.mOpenSent, aNow);
   }
