Check limits of cold upstreams before a configuration is sent

sassafrasknotd check did not judge warmup_s and warmup_per_s, although instances decode and enforce them: a limit without a length and a change of a limit went unnoticed.

Change: a limit whose warm-up has no length is a contradiction, and a new, removed or changed limit is shown with its effect.

Result: CheckConfiguration and CompareConfigurations, with a row for each, pass; the two rows are new.

--- a/include/sassafrasknot/flows/configuration_check.hpp
+++ b/include/sassafrasknot/flows/configuration_check.hpp
@@ -46,7 +46,7 @@
 /// for entries that contradict each other.
 /// @param aConfiguration decoded configuration
 /// @return the findings in order of the routes' endpoints, then of the names of
-/// the services; empty if there are none
+/// the services; empty if there are none. Limits of cold upstreams come last
 std::vector<ConfigurationFinding>
 CheckConfiguration(const Configuration& aConfiguration);
 
@@ -54,7 +54,8 @@
 /// are.
 /// @param aInForce configuration in force
 /// @param aNew configuration that replaces it
-/// @return the changes of routes, health paths and the idle timeout
+/// @return the changes of routes, health paths, limits of cold upstreams and the
+/// idle timeout
 std::vector<ConfigurationChange>
 CompareConfigurations(const Configuration& aInForce, const Configuration& aNew);
 
--- a/src/sassafrasknot/flows/configuration_check.cpp
+++ b/src/sassafrasknot/flows/configuration_check.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <sstream>
+#include <utility>
 
 namespace sassafrasknot::flows {
 namespace {
@@ -95,6 +97,34 @@
   }
 }
 
+/// Formats the limit of a service's cold upstreams.
+std::string
+ToText(const WarmUpLimit& aLimit)
+{
+  // Six significant digits, without trailing zeros.
+  std::ostringstream text;
+  text << aLimit.mRequestsPerSecond << " requests/s for "
+       << ToText(aLimit.mWarmUp);
+  return std::move(text).str();
+}
+
+/// Adds findings about the limits of cold upstreams.
+void
+CheckWarmUpLimits(std::vector<ConfigurationFinding>& aFindings,
+                  const Configuration& aConfiguration)
+{
+  for (const auto& [service, limit] : aConfiguration.mWarmUpLimits) {
+    if (limit.mWarmUp == limit.mWarmUp.zero()) {
+      aFindings.push_back(
+        { CheckKind::Contradiction,
+          { "backends/" + service + "/warmup_s",
+            "is 0 although warmup_per_s limits cold upstreams; none is cold "
+            "after an evacuation, and after a start only while its entry says "
+            "so" } });
+    }
+  }
+}
+
 /// Collects the changes between two configurations.
 class Comparison
 {
@@ -219,6 +249,34 @@
   }
 }
 
+/// Adds the changes of the limits of cold upstreams.
+void
+CompareWarmUpLimits(Comparison& aComparison,
+                    const Configuration& aInForce,
+                    const Configuration& aNew)
+{
+  const std::string effect =
+    "applies to new flows at cold upstreams; open flows continue";
+  const auto textOf = [](const Configuration& aConfiguration,
+                         const std::string& aService) {
+    const auto found = aConfiguration.mWarmUpLimits.find(aService);
+    return found == aConfiguration.mWarmUpLimits.end() ? "no limit"
+                                                       : ToText(found->second);
+  };
+  std::set<std::string> services;
+  for (const auto* configuration : { &aInForce, &aNew }) {
+    for (const auto& [service, limit] : configuration->mWarmUpLimits) {
+      services.insert(service);
+    }
+  }
+  for (const auto& service : services) {
+    aComparison.AddChanged("backends/" + service + "/warmup_per_s",
+                           textOf(aInForce, service),
+                           textOf(aNew, service),
+                           effect);
+  }
+}
+
 } // namespace
 
 std::vector<ConfigurationFinding>
@@ -240,6 +298,7 @@
           { "backends/" + service, "no route uses this service" } });
     }
   }
+  CheckWarmUpLimits(findings, aConfiguration);
   return findings;
 }
 
@@ -249,6 +308,7 @@
   Comparison comparison;
   CompareRoutes(comparison, aInForce, aNew);
   CompareHealthPaths(comparison, aInForce, aNew);
+  CompareWarmUpLimits(comparison, aInForce, aNew);
   comparison.AddChanged(
     "limits/idle_timeout_ms",
     ToText(aInForce.mIdleTimeout),
--- a/src/sassafrasknot/flows/configuration_check_test.cpp
+++ b/src/sassafrasknot/flows/configuration_check_test.cpp
@@ -107,6 +107,12 @@
       CheckKind::Contradiction,
       feed + "/timeout_ms",
       "15001 ms is above limits.idle_timeout_ms, 15000 ms" },
+    { [](auto& aNew) {
+       aNew.mWarmUpLimits["core"] = { milliseconds(0), 20 };
+     },
+      CheckKind::Contradiction,
+      "backends/core/warmup_s",
+      "is 0 although warmup_per_s" },
   };
   for (const auto& row : rows) {
     auto configuration = MakeConfiguration();
@@ -185,6 +191,12 @@
       Kind::Changed,
       "limits/idle_timeout_ms",
       "15000 ms becomes 9000 ms" },
+    { [](auto& aNew) {
+       aNew.mWarmUpLimits["spare"] = { milliseconds(4000), 12.5 };
+     },
+      Kind::Changed,
+      "backends/spare/warmup_per_s",
+      "no limit becomes 12.5 requests/s for 4000 ms; applies to new flows" },
   };
   const auto inForce = MakeConfiguration();
   EXPECT_THAT(CompareConfigurations(inForce, inForce), IsEmpty());
