Delay single upstreams in the soak

Cause: no run of real processes showed what an upstream does to its open flows that is late but works, as on a busy machine.

Change: the fault kind delay-upstreams. One upstream at a time processes nothing for 50 to 400 ms, then everything in order.

The test in upstream_test.cpp needs the sockets of an earlier fixture closed, so the fixture now stops its upstream.

--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -93,7 +93,7 @@
         &aArguments.mFaults,
         0,
         "planned work and only this kind of faults: "
-        "freeze-reader, silence-upstreams or evacuate",
+        "freeze-reader, silence-upstreams, delay-upstreams or evacuate",
         "KIND" },
       { "sabotage",
         0,
@@ -130,8 +130,8 @@
   if (arguments.mFaults != nullptr) {
     options.mOnlyKind = soak::FindSeparateKind(arguments.mFaults);
     if (!options.mOnlyKind) {
-      std::cerr << "soak: --faults must be freeze-reader, silence-upstreams or "
-                   "evacuate\n";
+      std::cerr << "soak: --faults must be freeze-reader, silence-upstreams, "
+                   "delay-upstreams or evacuate\n";
       return 2;
     }
   }
--- a/testing/soak/plan.cpp
+++ b/testing/soak/plan.cpp
@@ -32,7 +32,8 @@
   "restart-upstream",
   "freeze-reader",
   "silence-upstreams",
-  "evacuate"
+  "evacuate",
+  "delay-upstreams"
 };
 
 /// Mean time between the starts of two faults. It is shorter than the longest
@@ -55,6 +56,7 @@
 
 /// Evacuations last longer than the bound of 5 s after which they are checked.
 /// Two of them do not overlap, since callers need one data centre in service.
+/// Delays do not overlap either.
 constexpr std::array<SeparateKind, kFaultKindCount - kFirstSeparateKind>
   kSeparateKinds{ {
     { FaultKind::FreezeReader,
@@ -69,6 +71,10 @@
       milliseconds(20000),
       milliseconds(8000),
       milliseconds(10000) },
+    { FaultKind::DelayUpstreams,
+      milliseconds(800),
+      milliseconds(50),
+      milliseconds(400) },
   } };
 
 /// Adds the faults of a separate kind, at random times within each interval.
@@ -109,7 +115,8 @@
            std::optional<FaultKind> aOnlyKind)
 {
   if (aOnlyKind) {
-    return aKind == *aOnlyKind;
+    return aKind == *aOnlyKind || (*aOnlyKind == FaultKind::DelayUpstreams &&
+                                   aKind == FaultKind::SilenceUpstreams);
   }
   return IsPlanned(aKind) || !aIsPlannedOnly;
 }
--- a/testing/soak/plan.hpp
+++ b/testing/soak/plan.hpp
@@ -44,12 +44,14 @@
                     ///< again.
   Evacuate, ///< Evacuates one data centre and returns it to service. This is
             ///< planned work.
+  DelayUpstreams, ///< One upstream at a time is late, as a process without the
+                  ///< processor is.
 };
 
 /// @brief Number of kinds; the first kFirstUnplannedKind of them are planned
 /// work. Those from kFirstSeparateKind on are planned apart from the others, so
 /// that a seed goes on giving the same other faults.
-constexpr std::size_t kFaultKindCount = 23;
+constexpr std::size_t kFaultKindCount = 24;
 constexpr std::size_t kFirstUnplannedKind = 5;
 constexpr std::size_t kFirstSeparateKind = 20;
 
@@ -84,7 +86,8 @@
 /// planned work only
 /// @param aLength period from the start of traffic in which faults start
 /// @param aOnlyKind a kind that is planned apart from the others: the plan has
-/// planned work and this kind only, so that no other fault excuses violations
+/// planned work and this kind only, so that no other fault excuses violations.
+/// DelayUpstreams includes SilenceUpstreams, whose groups it leaves out.
 /// @return faults in the order of their starts
 std::vector<Fault>
 MakePlan(std::uint64_t aSeed,
--- a/testing/soak/plan_test.cpp
+++ b/testing/soak/plan_test.cpp
@@ -91,6 +91,35 @@
   EXPECT_EQ(FindSeparateKind("kill"), std::nullopt);
 }
 
+// Guards against delays that are longer than the platform's bound of 400 ms or
+// overlap, so that a late upstream would count as a failed one, and against
+// plans in which no others are silent meanwhile.
+TEST(Plan, DelaysSingleUpstreamsBesideSilentOnes)
+{
+  const auto kind = FindSeparateKind("delay-upstreams");
+  ASSERT_EQ(kind, FaultKind::DelayUpstreams);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::size_t count = 0;
+    std::size_t silences = 0;
+    milliseconds end{ 0 };
+    for (const auto& fault : MakePlan(seed, kLength, kind)) {
+      if (fault.mKind != kind) {
+        const bool isSilence = fault.mKind == FaultKind::SilenceUpstreams;
+        EXPECT_TRUE(isSilence || IsPlanned(fault.mKind));
+        silences += isSilence ? 1 : 0;
+        continue;
+      }
+      ++count;
+      EXPECT_GE(fault.mStart, end) << seed;
+      end = fault.mStart + fault.mDuration;
+      EXPECT_GE(fault.mDuration, milliseconds(50));
+      EXPECT_LE(fault.mDuration, milliseconds(400));
+    }
+    EXPECT_GE(count, 70U) << seed;
+    EXPECT_GE(silences, 8U) << seed;
+  }
+}
+
 // Guards against disturbances that excuse violations for ever, and against ones
 // that end too early because a shorter fault follows a longer one.
 TEST(Disturbances, LastUntilTheStableWindowHasPassed)
--- a/testing/soak/upstream.cpp
+++ b/testing/soak/upstream.cpp
@@ -52,6 +52,7 @@
 void
 Upstream::OpenHealth()
 {
+  mUnansweredHealth.close();
   auto health =
     sassafrasknot::net::HttpServer::Open(mContext, mEndpoint, [](auto) {
       return sassafrasknot::net::HttpServerResponse{ 200, "text/plain", "" };
@@ -76,9 +77,14 @@
 void
 Upstream::Silence()
 {
-  if (mStopped || std::exchange(mIsSilent, true)) {
-    return;
+  if (!mStopped && !std::exchange(mIsSilent, true) && !mIsDelayed) {
+    CloseHealth();
   }
+}
+
+void
+Upstream::CloseHealth()
+{
   if (mHealth) {
     mHealth->Close();
   }
@@ -94,12 +100,34 @@
 void
 Upstream::Respond()
 {
-  if (!mStopped && std::exchange(mIsSilent, false)) {
-    mUnansweredHealth.close();
+  if (!mStopped && std::exchange(mIsSilent, false) && !mIsDelayed) {
     OpenHealth();
   }
 }
 
+void
+Upstream::Delay(milliseconds aDuration)
+{
+  if (mStopped || mIsSilent || std::exchange(mIsDelayed, true)) {
+    return;
+  }
+  CloseHealth();
+  RunAfter(
+    mContext, aDuration, [self = shared_from_this()] { self->Resume(); });
+}
+
+void
+Upstream::Resume()
+{
+  mIsDelayed = false;
+  if (!mStopped && !mIsSilent) {
+    OpenHealth();
+  }
+  for (const auto& process : std::exchange(mDelayed, {})) {
+    process();
+  }
+}
+
 void
 Upstream::DropFlows()
 {
@@ -113,6 +141,10 @@
       aBytes.size() < kLabelBytes) {
     return;
   }
+  if (mIsDelayed) {
+    mDelayed.emplace_back([=, this] { Receive(aFrom, aBytes); });
+    return;
+  }
   const std::string_view bytes(aBytes.data(), aBytes.size());
   const auto packet = Decode(bytes.substr(kLabelBytes));
   if (!packet || packet->mSum != Checksum(*packet)) {
@@ -283,6 +315,10 @@
   if (mStopped || mIsSilent) {
     return;
   }
+  if (mIsDelayed) {
+    mDelayed.emplace_back([=, this] { Send(aEndpoints, aPacket); });
+    return;
+  }
   aPacket.mSource = aEndpoints.second;
   aPacket.mDestination = aEndpoints.first;
   aPacket.mSum = Checksum(aPacket);
--- a/testing/soak/upstream.hpp
+++ b/testing/soak/upstream.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "relay.hpp"
 #include "stand_ins.hpp"
@@ -70,6 +71,10 @@
   void Silence();
   /// @brief Ends the effect of Silence.
   void Respond();
+  /// @brief Processes nothing for a time, as a process without the processor
+  /// does, then all packets that have arrived, in order. Health checks that
+  /// arrive meanwhile get no answer. Has no effect on a silent upstream.
+  void Delay(std::chrono::milliseconds aDuration);
   /// @brief Drops all flows, as a restart of the process does.
   void DropFlows();
 
@@ -104,6 +109,10 @@
 
   /// Starts to answer health checks.
   void OpenHealth();
+  /// Leaves health checks without an answer until OpenHealth.
+  void CloseHealth();
+  /// Processes what has arrived during Delay.
+  void Resume();
   void OnPacket(const Endpoint& aFrom, const WirePacket& aPacket);
   void OnOpening(const Endpoint& aFrom, const WirePacket& aPacket);
   void OnData(Flow& aFlow,
@@ -124,10 +133,13 @@
   UpstreamEvents mEvents;
   std::shared_ptr<DatagramSocket> mSocket;
   std::shared_ptr<sassafrasknot::net::HttpServer> mHealth;
-  /// Open in place of mHealth during Silence; accepts no connection.
+  /// Open in place of mHealth during Silence and Delay; accepts no connection.
   boost::asio::ip::tcp::acceptor mUnansweredHealth;
   std::mt19937 mRandom;
   std::map<FlowEndpoints, Flow> mFlows;
+  bool mIsDelayed = false;
+  /// Packets to receive and to send after Delay.
+  std::vector<std::function<void()>> mDelayed;
 };
 
 } // namespace soak
--- a/testing/soak/upstream_test.cpp
+++ b/testing/soak/upstream_test.cpp
@@ -48,6 +48,11 @@
     mUpstream->Start(1);
   }
 
+  /// Closes the sockets, whose handlers refer to the upstream.
+  ~CountedUpstream() { mUpstream->Stop(); }
+  CountedUpstream(const CountedUpstream&) = delete;
+  CountedUpstream& operator=(const CountedUpstream&) = delete;
+
   /// Delivers an opening packet.
   void Open()
   {
@@ -102,5 +107,22 @@
   EXPECT_EQ(fixture.CheckHealth(), std::nullopt);
 }
 
+// Guards against delayed upstreams that process or drop packets or answer
+// health checks meanwhile, so that a run would not test lateness.
+TEST(Upstream, ProcessesDelayedPacketsLater)
+{
+  CountedUpstream fixture;
+  fixture.mUpstream->Delay(milliseconds(350));
+  fixture.Open();
+  fixture.Open();
+  EXPECT_EQ(fixture.CheckHealth(),
+            sassafrasknot::state::ErrorCode::DeadlineExceeded);
+  EXPECT_EQ(fixture.mOpenings, 0);
+  fixture.mContext.restart();
+  fixture.mContext.run_for(milliseconds(150));
+  EXPECT_EQ(fixture.mOpenings, 2);
+  EXPECT_EQ(fixture.CheckHealth(), std::nullopt);
+}
+
 } // namespace
 } // namespace soak
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -212,6 +212,8 @@
   void Pause(Instance& aInstance, std::chrono::milliseconds aDuration);
   /// Lets a group of upstreams stop responding for a time.
   void SilenceUpstreams(const Fault& aFault);
+  /// Delays one upstream of "desk" that responds. It excuses no flow.
+  void DelayUpstream(const Fault& aFault);
   /// Returns whether a caller's packet is lost while upstreams are silent: each
   /// other upstream loses one packet of an open flow.
   bool IsLostDuringSilence(const FlowEndpoints& aEndpoints);
--- a/testing/soak/world_faults.cpp
+++ b/testing/soak/world_faults.cpp
@@ -59,6 +59,9 @@
     case FaultKind::SilenceUpstreams:
       SilenceUpstreams(aFault);
       break;
+    case FaultKind::DelayUpstreams:
+      DelayUpstream(aFault);
+      break;
     case FaultKind::Evacuate:
       Evacuate(aFault);
       break;
--- a/testing/soak/world_outages.cpp
+++ b/testing/soak/world_outages.cpp
@@ -73,6 +73,21 @@
   });
 }
 
+void
+World::DelayUpstream(const Fault& aFault)
+{
+  // Only flows of "desk" may be reset.
+  std::vector<std::shared_ptr<Upstream>> candidates;
+  std::ranges::copy_if(
+    mUpstreams, std::back_inserter(candidates), [](const auto& aUpstream) {
+      return aUpstream->mService == "desk" && !aUpstream->mStopped &&
+             !aUpstream->mIsSilent;
+    });
+  if (!candidates.empty()) {
+    candidates[aFault.mTarget % candidates.size()]->Delay(aFault.mDuration);
+  }
+}
+
 bool
 World::IsLostDuringSilence(const FlowEndpoints& aEndpoints)
 {
