Reset no open flow at an upstream that is late by up to 400 ms

Cause: a process that loses the processor makes all packets late that arrive meanwhile. Two of its flows were then retransmitted in one moment, which counted as two observations: the upstream was unresponsive, and one missing answer of its own sufficed to reset each flow.

Change: where retransmissions of two open flows make an upstream unresponsive, an open flow is reset only if its own request is overdue, that is, retransmitted 0.5 s or more after it was sent: at the caller's second retransmission, 0.6 s after the request. Once two open flows have had overdue requests, one missing answer of another flow suffices. Overdue requests outweigh answered probes but not answered flows, since another process may answer at the address of a crashed upstream. New flows avoid an upstream as early as before, and the check of data centres and dropped routes are unchanged. Decided by the flow's own copies, since these are the only packets that show how long the upstream was silent; a request that it has acknowledged is not retransmitted, and the instance cannot see that.

--- a/include/sassafrasknot/flows/failure_detector.hpp
+++ b/include/sassafrasknot/flows/failure_detector.hpp
@@ -28,6 +28,17 @@
 /// packets show to be unresponsive. A single one may be a lost packet; the
 /// second follows 0.6 s after the request.
 constexpr std::uint32_t kAbandonedAfterMissing = 2;
+/// Time without an answer that shows a failure instead of a late process. A
+/// process on a busy machine may lose the processor for 400 ms, and all packets
+/// that arrive meanwhile are late by the same cause, of whatever flow. A caller
+/// that retransmits for the second time, 0.6 s after its request, shows that no
+/// answer came in all that time.
+constexpr std::chrono::milliseconds kMaxUpstreamDelay{ 400 };
+constexpr std::chrono::milliseconds kOverdueAfter =
+  kMaxUpstreamDelay + std::chrono::milliseconds(100);
+/// Number of open flows with an overdue request after which one missing answer
+/// suffices to reset others there. A single one may have lost two packets.
+constexpr std::uint32_t kFailedAfterOverdueFlows = 2;
 /// Unanswered packets are counted together if they were forwarded within this
 /// time, which is several times the interval of retransmissions. Without this
 /// limit, packets lost long apart would add up at an instance that has few
@@ -83,6 +94,8 @@
   /// When the newest packet that the upstream has answered was forwarded. An
   /// answer to an earlier packet may arrive later without changing it.
   state::TimePoint mLastAnsweredSent;
+  /// The same without answers to probes.
+  state::TimePoint mLastFlowAnsweredSent;
   /// When the first of the packets that are counted as unanswered was
   /// forwarded, or when the upstream was marked unresponsive without any; zero
   /// if there is no evidence.
@@ -91,6 +104,9 @@
   std::uint32_t mRetransmittingFlows = 0;
   /// Number of open flows among them.
   std::uint32_t mRetransmittingOpenFlows = 0;
+  /// Number of open flows with a request that was retransmitted kOverdueAfter
+  /// or more after it was first forwarded.
+  std::uint32_t mOverdueOpenFlows = 0;
   /// Number of flows whose caller did not return after its opening packet.
   std::uint32_t mUnansweredOpens = 0;
   /// Another instance has reported it as unresponsive.
@@ -138,6 +154,22 @@
                      state::TimePoint aLinkVerifiedAt,
                      state::TimePoint aNow);
 
+/// @brief Records that a caller has retransmitted the request of an open flow
+/// for the first time since it is overdue. It counts unless the upstream has
+/// answered a later packet of a flow. An answered probe does not suffice:
+/// another process may answer at the upstream's address. If
+/// kFailedAfterOverdueFlows are overdue, the upstream is unresponsive.
+/// @param aDetector the upstream's failure detector
+/// @param aSent when the request was first forwarded
+/// @param aLinkVerifiedAt see RecordRetransmission
+/// @param aNow current time on the steady clock
+/// @return whether its liveness changed
+bool
+RecordOverdueRequest(FailureDetector& aDetector,
+                     state::TimePoint aSent,
+                     state::TimePoint aLinkVerifiedAt,
+                     state::TimePoint aNow);
+
 /// @brief Records that a caller did not return within kAnswerTimeout of its
 /// opening packet. It counts unless a later packet has been answered.
 /// @param aDetector the upstream's failure detector
@@ -178,14 +210,27 @@
 
 /// @brief Returns whether an open idempotent flow may be reset because the
 /// upstream does not answer it. A flow without a missing answer of its own
-/// never is. One missing answer suffices if open flows have made the upstream
-/// unresponsive; otherwise kAbandonedAfterMissing are needed, since an upstream
-/// that ignores opening packets, or that others report, may still serve it.
+/// never is. One suffices if kFailedAfterOverdueFlows other requests are
+/// overdue. If open flows have made the upstream unresponsive, the request has
+/// to be overdue itself, since the upstream may be late. Otherwise
+/// kAbandonedAfterMissing are needed, since an upstream that ignores opening
+/// packets, or that others report, may still serve it.
 /// @param aDetector the upstream's failure detector
 /// @param aMissingAnswers the flow's missing answers to its newest data
+/// @param aUnansweredFor time from its newest data to the last retransmission
+/// that showed a missing answer
 /// @return whether it may be reset
 bool
-IsAbandoned(const FailureDetector& aDetector, std::uint32_t aMissingAnswers);
+IsAbandoned(const FailureDetector& aDetector,
+            std::uint32_t aMissingAnswers,
+            state::Duration aUnansweredFor);
+
+/// @brief Returns whether overdue requests show that the upstream has failed,
+/// so that one missing answer resets an idempotent flow there.
+/// @param aDetector the upstream's failure detector
+/// @return whether it has failed
+bool
+HasFailed(const FailureDetector& aDetector);
 
 /// @brief Returns whether a new flow may go to the upstream: always if it is
 /// responsive, otherwise only when a trial is due.
--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -36,6 +36,9 @@
   /// How often the newest data, or the opening packet, was forwarded without an
   /// answer in time: 1 after the caller's first retransmission.
   std::uint32_t mMissingAnswers = 0;
+  /// Time from the newest data to the last retransmission that showed a missing
+  /// answer. Afterwards the upstream may have acknowledged them.
+  state::Duration mUnansweredFor{ 0 };
   /// The opening packet, or data that were forwarded since the last answer, may
   /// have been dropped in the queue of this instance's own link.
   bool mMayBeDropped = false;
--- a/src/sassafrasknot/flows/failure_detector.cpp
+++ b/src/sassafrasknot/flows/failure_detector.cpp
@@ -13,7 +13,8 @@
 {
   const bool isLinkVerified =
     aLinkVerifiedAt > aDetector.mUnansweredSince + kLinkVerificationMargin;
-  if (aDetector.mRetransmittingFlows >= kUnresponsiveAfterFlows &&
+  if ((aDetector.mRetransmittingFlows >= kUnresponsiveAfterFlows ||
+       aDetector.mOverdueOpenFlows >= kFailedAfterOverdueFlows) &&
       isLinkVerified) {
     return Liveness::Unresponsive;
   }
@@ -77,6 +78,7 @@
   }
   aDetector.mRetransmittingFlows = 0;
   aDetector.mRetransmittingOpenFlows = 0;
+  aDetector.mOverdueOpenFlows = 0;
   aDetector.mUnansweredOpens = 0;
   aDetector.mReported = false;
   aDetector.mDataCentreUnreachable = false;
@@ -103,9 +105,10 @@
 bool
 RecordEvidence(FailureDetector& aDetector,
                state::TimePoint aSent,
+               state::TimePoint aLastAnsweredSent,
                state::TimePoint aNow)
 {
-  if (aSent <= aDetector.mLastAnsweredSent || aNow - aSent < kAnswerTimeout) {
+  if (aSent <= aLastAnsweredSent || aNow - aSent < kAnswerTimeout) {
     return false;
   }
   auto& unansweredSince = aDetector.mUnansweredSince;
@@ -113,6 +116,7 @@
       aSent - unansweredSince > kEvidenceWindow) {
     aDetector.mRetransmittingFlows = 0;
     aDetector.mRetransmittingOpenFlows = 0;
+    aDetector.mOverdueOpenFlows = 0;
     aDetector.mUnansweredOpens = 0;
     unansweredSince = aSent;
   }
@@ -131,6 +135,8 @@
   if (aSent > aDetector.mLastAnsweredSent) {
     aDetector.mProbeTrust = ProbeTrust::Trusted;
   }
+  aDetector.mLastFlowAnsweredSent =
+    std::max(aDetector.mLastFlowAnsweredSent, aSent);
   return ClearEvidence(aDetector, aSent);
 }
 
@@ -154,7 +160,7 @@
                      state::TimePoint aLinkVerifiedAt,
                      state::TimePoint aNow)
 {
-  if (!RecordEvidence(aDetector, aSent, aNow)) {
+  if (!RecordEvidence(aDetector, aSent, aDetector.mLastAnsweredSent, aNow)) {
     return false;
   }
   ++aDetector.mRetransmittingFlows;
@@ -164,12 +170,26 @@
   return ApplyDirectEvidence(aDetector, aLinkVerifiedAt, aNow);
 }
 
+bool
+RecordOverdueRequest(FailureDetector& aDetector,
+                     state::TimePoint aSent,
+                     state::TimePoint aLinkVerifiedAt,
+                     state::TimePoint aNow)
+{
+  if (!RecordEvidence(
+        aDetector, aSent, aDetector.mLastFlowAnsweredSent, aNow)) {
+    return false;
+  }
+  ++aDetector.mOverdueOpenFlows;
+  return ApplyDirectEvidence(aDetector, aLinkVerifiedAt, aNow);
+}
+
 bool
 RecordUnansweredOpen(FailureDetector& aDetector,
                      state::TimePoint aSent,
                      state::TimePoint aNow)
 {
-  if (!RecordEvidence(aDetector, aSent, aNow)) {
+  if (!RecordEvidence(aDetector, aSent, aDetector.mLastAnsweredSent, aNow)) {
     return false;
   }
   ++aDetector.mUnansweredOpens;
@@ -180,9 +200,9 @@
 ClearUnansweredOpens(FailureDetector& aDetector)
 {
   aDetector.mUnansweredOpens = 0;
-  const bool hasOtherEvidence = aDetector.mRetransmittingFlows > 0 ||
-                                aDetector.mReported ||
-                                aDetector.mDataCentreUnreachable;
+  const bool hasOtherEvidence =
+    aDetector.mRetransmittingFlows > 0 || aDetector.mOverdueOpenFlows > 0 ||
+    aDetector.mReported || aDetector.mDataCentreUnreachable;
   if (hasOtherEvidence) {
     return false;
   }
@@ -213,13 +233,25 @@
 }
 
 bool
-IsAbandoned(const FailureDetector& aDetector, std::uint32_t aMissingAnswers)
+IsAbandoned(const FailureDetector& aDetector,
+            std::uint32_t aMissingAnswers,
+            state::Duration aUnansweredFor)
 {
+  if (aDetector.mLiveness < Liveness::Reported || aMissingAnswers == 0) {
+    return false;
+  }
   const bool hasOpenFlowEvidence =
     aDetector.mLiveness == Liveness::Unresponsive &&
     aDetector.mRetransmittingOpenFlows >= kUnresponsiveAfterFlows;
-  return aDetector.mLiveness >= Liveness::Reported &&
-         aMissingAnswers >= (hasOpenFlowEvidence ? 1 : kAbandonedAfterMissing);
+  return HasFailed(aDetector) || aMissingAnswers >= kAbandonedAfterMissing ||
+         (hasOpenFlowEvidence && aUnansweredFor >= kOverdueAfter);
+}
+
+bool
+HasFailed(const FailureDetector& aDetector)
+{
+  return aDetector.mLiveness == Liveness::Unresponsive &&
+         aDetector.mOverdueOpenFlows >= kFailedAfterOverdueFlows;
 }
 
 bool
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -25,6 +25,7 @@
     findings.mAnsweredCopySent = aEntry.mOpenSent;
     aEntry.mRequestActive = false;
     aEntry.mMissingAnswers = 0;
+    aEntry.mUnansweredFor = {};
   } else if (IsAfter(aPacket.mAcknowledged, aEntry.mAcknowledged)) {
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
@@ -40,6 +41,7 @@
       aEntry.mNewDataSent = aNow;
       aEntry.mLastDataSent = aNow;
       aEntry.mMissingAnswers = 0;
+      aEntry.mUnansweredFor = {};
       // Data that follows before an answer belongs to the same request.
       aEntry.mRequests += aEntry.mRequestActive ? 0 : 1;
       aEntry.mRequestActive = true;
--- a/src/sassafrasknot/flows/router_established.cpp
+++ b/src/sassafrasknot/flows/router_established.cpp
@@ -134,7 +134,8 @@
 }
 
 /// Records that a caller has retransmitted data of an active request. Only the
-/// first missing answer counts as evidence of a further flow.
+/// first missing answer counts as evidence of a further flow, and only the
+/// first one since the request is overdue as that of a further overdue flow.
 void
 RecordRetransmittedData(FlowRouter& aRouter,
                         UpstreamRecord& aRecord,
@@ -151,6 +152,11 @@
     HandleRetransmission(
       aRouter, aRecord, RetransmittedPacket::Data, aEntry.mNewDataSent, aNow);
   }
+  const auto before =
+    std::exchange(aEntry.mUnansweredFor, aNow - aEntry.mNewDataSent);
+  if (before < kOverdueAfter && aEntry.mUnansweredFor >= kOverdueAfter) {
+    HandleOverdueRequest(aRouter, aRecord, aEntry.mNewDataSent, aNow);
+  }
 }
 
 /// Records what a packet of an upload shows about its load on this instance's
@@ -282,7 +288,9 @@
     RecordObservations(aRouter, aPacket, route, *record, entry, aNow);
   UpdateEvidence(aRouter, *record, entry, findings, aNow);
   if (findings.mRetransmitted && IsIdempotent(entry.mKind) &&
-      IsAbandoned(record->mFailureDetector, entry.mMissingAnswers)) {
+      IsAbandoned(record->mFailureDetector,
+                  entry.mMissingAnswers,
+                  entry.mUnansweredFor)) {
     RemoveFlow(aRouter, aPacket.mFlow);
     return { PacketAction::Reset,
              Reason::UpstreamUnresponsive,
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -17,13 +17,17 @@
                 const UpstreamRecord& aRecord,
                 std::vector<AbandonedFlow>& aAbandoned)
 {
+  const auto& detector = aRecord.mFailureDetector;
+  // Overdue requests outweigh answers to probes.
+  const auto answeredSent = HasFailed(detector) ? detector.mLastFlowAnsweredSent
+                                                : detector.mLastAnsweredSent;
   for (auto it = aRouter.mFlows.begin(); it != aRouter.mFlows.end();) {
     const auto& [key, entry] = *it;
     const bool isUnanswered =
       entry.mToken == aRecord.mToken && entry.mEstablished &&
       entry.mRequestActive && IsIdempotent(entry.mKind) &&
-      entry.mNewDataSent > aRecord.mFailureDetector.mLastAnsweredSent &&
-      IsAbandoned(aRecord.mFailureDetector, entry.mMissingAnswers);
+      entry.mNewDataSent > answeredSent &&
+      IsAbandoned(detector, entry.mMissingAnswers, entry.mUnansweredFor);
     if (!isUnanswered) {
       ++it;
       continue;
@@ -120,6 +124,25 @@
   CheckDataCentre(aRouter, aRecord.mUpstream.mDataCentre, aNow);
 }
 
+void
+HandleOverdueRequest(FlowRouter& aRouter,
+                     UpstreamRecord& aRecord,
+                     state::TimePoint aSent,
+                     state::TimePoint aNow)
+{
+  if (aSent < aRouter.mIgnoreEvidenceBefore) {
+    return;
+  }
+  auto& detector = aRecord.mFailureDetector;
+  const bool hadFailed = HasFailed(detector);
+  const bool hasChanged =
+    RecordOverdueRequest(detector, aSent, aRouter.mLinkVerifiedAt, aNow);
+  RecordLivenessChange(aRouter, aRecord, hasChanged);
+  if (!hadFailed && !hasChanged && HasFailed(detector)) {
+    aRouter.mNewlyUnresponsive.push_back(aRecord.mToken);
+  }
+}
+
 void
 DecayOpenOutcomes(OpenOutcomes& aOutcomes, state::Duration aElapsed)
 {
--- a/src/sassafrasknot/flows/router_liveness.hpp
+++ b/src/sassafrasknot/flows/router_liveness.hpp
@@ -32,6 +32,15 @@
                      state::TimePoint aSent,
                      state::TimePoint aNow);
 
+/// Records that a caller has retransmitted a request, first forwarded at aSent,
+/// for the first time since it is overdue. Packets from before the end of a
+/// stall are ignored.
+void
+HandleOverdueRequest(FlowRouter& aRouter,
+                     UpstreamRecord& aRecord,
+                     state::TimePoint aSent,
+                     state::TimePoint aNow);
+
 /// Lets outcomes of opening packets count less as time passes.
 void
 DecayOpenOutcomes(OpenOutcomes& aOutcomes, state::Duration aElapsed);
