Share learned speeds of upstreams between instances

Each instance learned the speeds of upstreams alone, so that a new one placed flows as if all upstreams were equal, and a weak estimate returned to 1. An instance now reports the speeds by its own samples (at least 6, the newest at most 10 s old) to its neighbours, in one message per second and when a neighbour is new. Receivers use the mean of the logarithms as prior of their own estimate, in place of speed 1. The reports of an instance end with its loads, or after 3.5 s without a new one; those of a restarted upstream are ignored for 6 s. Reports out of 20 to 500 percent are ignored and counted (ignored_speeds_total).

The work of requests is still learned with the speed by own samples, so that the estimates of instances do not depend on each other.

--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -65,6 +65,9 @@
   /// much earlier than usual and therefore were not used.
   std::atomic<std::uint64_t> mWorkSamples{ 0 };
   std::atomic<std::uint64_t> mEarlyAnswers{ 0 };
+  /// Speeds of upstreams reported by other instances that were ignored, since
+  /// they were out of range.
+  std::atomic<std::uint64_t> mIgnoredSpeeds{ 0 };
   /// Current number of flows in the router's table.
   std::atomic<std::uint64_t> mOpenFlows{ 0 };
   /// Current number of uploads that are sending, and the delay that their
--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -27,6 +27,9 @@
   std::chrono::milliseconds mNeighbourPeriod{ 25 };
   std::chrono::milliseconds mNeighbourPeriodPerPeer{ 10 };
   std::chrono::milliseconds mMaxNeighbourPeriod{ 500 };
+  /// Messages with loads to neighbours that contain speeds, which change more
+  /// slowly than loads.
+  std::chrono::milliseconds mSpeedsPeriod{ 1000 };
   /// Messages without loads to the other instances of a large data centre:
   /// period per peer, and maximum period. Two messages in a row may be lost
   /// before an instance counts as dead (kDeadTimeout).
@@ -124,6 +127,14 @@
   DataCentreLoads mLoads;
 };
 
+/// @brief The last speeds of upstreams that a local peer has reported.
+struct PeerSpeeds
+{
+  state::TimePoint mReceivedAt;
+  /// Upstreams with the logarithms of their speeds.
+  std::vector<std::pair<flows::UpstreamToken, double>> mLogSpeeds;
+};
+
 /// @brief State of one instance's membership, dissemination and reads of the
 /// store. Functions take an event and the current time and return actions; they
 /// do no input or output themselves.
@@ -150,6 +161,10 @@
   state::TimePoint mNextGossip;
   /// This instance's loads, for the next messages.
   std::vector<UpstreamLoadEntry> mOwnLoads;
+  /// This instance's own estimates of speeds, in percent, for the next
+  /// messages, and due time of the next message that contains them.
+  std::map<flows::UpstreamToken, std::uint32_t> mOwnSpeeds;
+  state::TimePoint mNextSpeeds;
   /// Utilisation (active requests per slot) of the upstreams that this instance
   /// chooses from.
   double mLocalUtilisation = 0;
@@ -162,6 +177,12 @@
   std::map<flows::UpstreamToken, state::TimePoint> mReachable;
   /// Last loads received from local peers.
   std::map<state::Endpoint, std::vector<UpstreamLoadEntry>> mPeerLoads;
+  /// Last speeds received from local peers, and whether they have changed. The
+  /// owner of the core collects them and resets the flag.
+  std::map<state::Endpoint, PeerSpeeds> mPeerSpeeds;
+  bool mPeerSpeedsChanged = false;
+  /// Reported speeds that were ignored, since they were out of range.
+  std::uint64_t mIgnoredSpeeds = 0;
   /// Suspected and unresponsive upstreams that local peers last reported.
   std::map<state::Endpoint, std::vector<flows::UpstreamToken>>
     mPeerProbeCandidates;
@@ -236,6 +257,11 @@
 std::map<flows::UpstreamToken, flows::UpstreamLoad>
 PeerLoads(const FleetCore& aCore);
 
+/// @brief Returns the speeds of upstreams that local peers report.
+/// @return means by upstream; those without reports are absent
+std::map<flows::UpstreamToken, flows::SharedSpeed>
+SharedSpeeds(const FleetCore& aCore);
+
 /// @brief Returns the mean utilisation of the other data centres that report it
 /// instead of loads by upstream.
 /// @return active requests per slot
--- a/include/sassafrasknot/fleet/fleet_message.hpp
+++ b/include/sassafrasknot/fleet/fleet_message.hpp
@@ -6,6 +6,7 @@
 #include "sassafrasknot/flows/upstream_table.hpp"
 #include "sassafrasknot/state/time.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -26,6 +27,9 @@
 {
   flows::UpstreamToken mToken = flows::kNoToken;
   flows::UpstreamLoad mLoad;
+  /// Speed of the upstream by the instance's own samples, in percent; 0 if it
+  /// reports none. Only in messages within a data centre.
+  std::uint32_t mSpeedPercent = 0;
 
   auto operator<=>(const UpstreamLoadEntry&) const = default;
 };
@@ -68,6 +72,9 @@
   std::vector<MemberGossip> mMembers;
   /// Loads of the sender. Present in the regular messages within a data centre;
   /// empty in those to instances that do not share upstreams with the sender.
+  /// Speeds are in one message per FleetPolicy::mSpeedsPeriod, which then has
+  /// entries for upstreams without load, too; it replaces all speeds that the
+  /// sender reported before.
   std::optional<std::vector<UpstreamLoadEntry>> mLoads;
   /// Aggregated loads, sent by representatives of data centres only: those of
   /// the sender's own data centre in messages to other data centres, those of
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -81,6 +81,9 @@
   double mReportWeight = 1;
   EarlyAnswers mEarlyAnswers;
   SpeedEstimate mSpeed;
+  /// Until when speeds that others report are ignored, since they may be those
+  /// of the upstream's earlier process.
+  state::TimePoint mIgnoreSharedSpeedUntil;
   RecentHandshakes mHandshakes;
   /// Answers that this instance did not use as samples of the speed, since they
   /// were much earlier than usual.
@@ -102,6 +105,11 @@
 /// age of their reports.
 constexpr std::chrono::milliseconds kReportTimeConstant{ 500 };
 
+/// Time for which reported speeds of a restarted upstream are ignored: reports
+/// count for up to 4.5 s (fleet::kSpeedReportRetention), and others may learn
+/// of the restart later than this instance.
+constexpr std::chrono::seconds kSharedSpeedDelay{ 6 };
+
 /// @brief The upstreams of one service among which new flows are placed.
 struct ServicePool
 {
@@ -129,6 +137,8 @@
 {
   std::unordered_map<UpstreamToken, UpstreamRecord> mByToken;
   std::map<std::string, ServicePool, std::less<>> mByService;
+  /// Upstreams of the last SetSharedSpeeds.
+  std::vector<UpstreamToken> mWithSharedSpeed;
 };
 
 /// @brief Applies a new directory. Upstreams that are no longer in it are kept
@@ -162,6 +172,16 @@
              const std::map<UpstreamToken, UpstreamLoad>& aLoads,
              const std::map<state::DataCentreId, double>& aMeanUtilisations);
 
+/// @brief Replaces the speeds that other instances have reported. The cost
+/// depends on the number of reported upstreams only.
+/// @param aTable the table
+/// @param aSpeeds reported speeds; an upstream that is missing has none
+/// @param aNow current time on the steady clock
+void
+SetSharedSpeeds(UpstreamTable& aTable,
+                const std::map<UpstreamToken, SharedSpeed>& aSpeeds,
+                state::TimePoint aNow);
+
 /// @brief Returns the active requests per slot of the local upstreams among
 /// which this instance chooses.
 /// @param aTable the table
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -36,6 +36,9 @@
 /// Interval at which the traffic thread receives a view of the fleet; well
 /// below flows::kMaxViewAge, after which a view is too old.
 constexpr milliseconds kFleetViewInterval{ 250 };
+/// Shortest interval at which the traffic thread receives the speeds that other
+/// instances report, each once a second.
+constexpr milliseconds kSharedSpeedsInterval{ 250 };
 /// Receive buffer for messages of other instances, in bytes.
 constexpr std::size_t kReceiveBufferBytes = std::size_t{ 256 } << 10U;
 /// Maximum size of a message of another instance, in bytes.
@@ -177,6 +180,13 @@
                             fleet::MeanUtilisations(mCore),
                             fleet::LocalPosition(mCore.mPeers, now) });
   }
+  if (mCore.mPeerSpeedsChanged && mDirectoryPublished &&
+      now >= mNextSharedSpeeds) {
+    mCore.mPeerSpeedsChanged = false;
+    mNextSharedSpeeds = now + kSharedSpeedsInterval;
+    mTraffic.SetSharedSpeeds(fleet::SharedSpeeds(mCore));
+    mMetrics->mIgnoredSpeeds = mCore.mIgnoredSpeeds;
+  }
   SendFleetView(now);
   if (auto unresponsive = std::exchange(mCore.mReportedUnresponsive, {});
       !unresponsive.empty()) {
@@ -353,6 +363,9 @@
 ControlLoop::OnTrafficReport(TrafficReport aReport)
 {
   mCore.mOwnLoads = aReport.mOwnLoads;
+  if (aReport.mOwnSpeeds) {
+    mCore.mOwnSpeeds = *std::exchange(aReport.mOwnSpeeds, std::nullopt);
+  }
   mCore.mLocalUtilisation = aReport.mLocalUtilisation;
   mCore.mUnresponsive = aReport.mUnresponsive;
   mCore.mProbeCandidates = aReport.mProbeCandidates;
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -128,6 +128,9 @@
   bool mStoreReachable = true;
   /// Loads of other instances arrived that the traffic thread does not have.
   bool mPeerLoadsChanged = false;
+  /// Next time at which speeds that other instances report may be sent to the
+  /// traffic thread.
+  state::TimePoint mNextSharedSpeeds;
   /// Members that count when this instance decides whether it may place flows
   /// on cold upstreams, and next time at which it does.
   fleet::MemberMemory mMemberMemory;
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -97,6 +97,8 @@
       { "speed", std::to_string(flows::Speed(record.mSpeed, aNow)) },
       { "speed_samples", std::to_string(record.mSpeed.mSamples) },
       { "speed_age_ms", AgeText(record.mSpeed.mUpdatedAt, aNow) },
+      { "shared_speed", std::to_string(record.mSpeed.mSharedSpeed) },
+      { "shared_by", std::to_string(record.mSpeed.mShared.mReporters) },
       { "early_answers", std::to_string(record.mEarlyAnswerCount) },
       { "liveness", std::string(ToText(detector.mLiveness)) },
       { "repeated", std::to_string(detector.mRetransmittingFlows) },
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kLargeTable = 250;
 /// Interval between reports with a large table.
 constexpr milliseconds kLargeTableReportInterval{ 75 };
+/// Interval of reports that contain speeds: that of the messages which send
+/// them to other instances (fleet::FleetPolicy::mSpeedsPeriod).
+constexpr milliseconds kSpeedReportInterval{ 1000 };
 /// Maximum size of a caller's datagram, in bytes: a header and 1,200 bytes of
 /// data, with room for headers of other lengths.
 constexpr std::size_t kMaxPacketBytes = 2048;
@@ -143,6 +146,15 @@
   });
 }
 
+void
+TrafficLoop::SetSharedSpeeds(
+  std::map<flows::UpstreamToken, flows::SharedSpeed> aSpeeds)
+{
+  boost::asio::post(mContext, [this, speeds = std::move(aSpeeds)] {
+    flows::SetSharedSpeeds(mRouter.mUpstreams, speeds, Clock::now());
+  });
+}
+
 void
 TrafficLoop::SetFleetView(flows::FleetView aView)
 {
@@ -201,10 +213,20 @@
 TrafficLoop::Report(state::TimePoint aNow)
 {
   TrafficReport report;
+  if (aNow >= mNextSpeedReport) {
+    mNextSpeedReport = aNow + kSpeedReportInterval;
+    report.mOwnSpeeds.emplace();
+  }
   for (const auto& [token, record] : mRouter.mUpstreams.mByToken) {
     if (record.mOwnLoad != flows::UpstreamLoad{}) {
       report.mOwnLoads.push_back({ token, record.mOwnLoad });
     }
+    if (report.mOwnSpeeds) {
+      if (const auto percent =
+            flows::ReportedSpeedPercent(record.mSpeed, aNow)) {
+        report.mOwnSpeeds->emplace(token, percent);
+      }
+    }
     if (record.mFailureDetector.mLiveness == flows::Liveness::Unresponsive &&
         !record.mFailureDetector.mDataCentreUnreachable) {
       report.mUnresponsive.push_back(token);
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -11,9 +11,11 @@
 #include "sassafrasknot/net/udp_socket.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -32,6 +34,9 @@
   /// Loads of this instance's flows on upstreams; those without load are
   /// absent.
   std::vector<fleet::UpstreamLoadEntry> mOwnLoads;
+  /// Speeds of upstreams by this instance's own samples, in percent; only in
+  /// one report per second.
+  std::optional<std::map<flows::UpstreamToken, std::uint32_t>> mOwnSpeeds;
   /// Upstreams that this instance itself has found unresponsive, without
   /// reports of others.
   std::vector<flows::UpstreamToken> mUnresponsive;
@@ -93,6 +98,9 @@
   void ConfirmDirectory(state::TimePoint aConfirmedAt);
   /// Replaces the loads of other instances and this instance's position.
   void SetPeerLoads(PeerLoadUpdate aUpdate);
+  /// Replaces the speeds of upstreams that other instances report.
+  void SetSharedSpeeds(
+    std::map<flows::UpstreamToken, flows::SharedSpeed> aSpeeds);
   /// Replaces the view of the fleet, which determines the cold upstreams on
   /// which this instance places flows.
   void SetFleetView(flows::FleetView aView);
@@ -132,6 +140,7 @@
   state::TimePoint mLastPacket;
   state::TimePoint mNextDump;
   state::TimePoint mNextReport;
+  state::TimePoint mNextSpeedReport;
   state::TimePoint mNextEvacuationStatus;
   std::map<state::DataCentreId, flows::EvacuationStatus> mEvacuations;
   std::shared_ptr<const std::string> mUpstreamDump;
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -298,6 +298,10 @@
     auto reply = BuildMessage(aCore, aNow);
     reply.mMembers = SampleMembers(aCore, aNow);
     actions.mSend.push_back({ std::move(reply), { sender.mEndpoint } });
+    if (sender.mDataCentre == aCore.mPeers.mSelf.mDataCentre) {
+      // It may have no estimates of its own yet.
+      aCore.mNextSpeeds = aNow;
+    }
   }
   UpdateLoads(aCore, aMessage, aNow);
   for (const auto& [token, probeAge] : aMessage.mReachable) {
--- a/src/sassafrasknot/fleet/load_exchange.cpp
+++ b/src/sassafrasknot/fleet/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "load_exchange.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace sassafrasknot::fleet {
 namespace {
@@ -13,6 +14,9 @@
 /// other instances of their data centre therefore need a message from them
 /// within kDirectContactTimeout.
 constexpr std::size_t kLeadingRanks = 3;
+/// Upstreams without load whose speeds one message contains at most: 8 bytes
+/// each, of the 8 KiB that a receiver accepts.
+constexpr std::size_t kMaxIdleSpeeds = 256;
 
 using LoadsByToken = std::map<flows::UpstreamToken, flows::UpstreamLoad>;
 
@@ -64,6 +68,51 @@
   return message;
 }
 
+/// Returns the own loads with the own estimates of speeds, with entries for
+/// upstreams that have either.
+std::vector<UpstreamLoadEntry>
+LoadsWithSpeeds(const FleetCore& aCore)
+{
+  auto loads = aCore.mOwnLoads;
+  auto speeds = aCore.mOwnSpeeds;
+  for (auto& load : loads) {
+    if (const auto found = speeds.find(load.mToken); found != speeds.end()) {
+      load.mSpeedPercent = found->second;
+      speeds.erase(found);
+    }
+  }
+  for (const auto& [token, speed] : speeds | std::views::take(kMaxIdleSpeeds)) {
+    loads.push_back({ token, {}, speed });
+  }
+  return loads;
+}
+
+/// Records the speeds of a message, if it contains any.
+void
+UpdateSpeeds(FleetCore& aCore,
+             const state::Endpoint& aSender,
+             const std::vector<UpstreamLoadEntry>& aLoads,
+             state::TimePoint aNow)
+{
+  PeerSpeeds speeds{ aNow, {} };
+  bool hasSpeeds = false;
+  for (const auto& load : aLoads) {
+    if (load.mSpeedPercent == 0) {
+      continue;
+    }
+    hasSpeeds = true;
+    if (const auto log = flows::LogOfReportedSpeed(load.mSpeedPercent)) {
+      speeds.mLogSpeeds.emplace_back(load.mToken, *log);
+    } else {
+      ++aCore.mIgnoredSpeeds;
+    }
+  }
+  if (hasSpeeds) {
+    aCore.mPeerSpeeds[aSender] = std::move(speeds);
+    aCore.mPeerSpeedsChanged = true;
+  }
+}
+
 /// Returns whether the state of upstreams has changed since the last message to
 /// others, and that message is old enough for another one ahead of its period.
 bool
@@ -151,7 +200,12 @@
     aCore.mNextNeighbourMessage =
       aNow + NeighbourPeriod(policy, groups.mNeighbours.size());
     auto withLoads = message;
-    withLoads.mLoads = aCore.mOwnLoads;
+    if (aNow >= aCore.mNextSpeeds && !aCore.mOwnSpeeds.empty()) {
+      aCore.mNextSpeeds = aNow + policy.mSpeedsPeriod;
+      withLoads.mLoads = LoadsWithSpeeds(aCore);
+    } else {
+      withLoads.mLoads = aCore.mOwnLoads;
+    }
     QueueMessage(aActions, std::move(withLoads), groups.mNeighbours);
   }
   if (isOthersMessageDue) {
@@ -201,7 +255,11 @@
 {
   if (aMessage.mLoads) {
     const auto& sender = aMessage.mSender.mEndpoint;
-    aCore.mPeerLoads[sender] = *aMessage.mLoads;
+    auto& loads = aCore.mPeerLoads[sender] = *aMessage.mLoads;
+    std::erase_if(loads, [](const auto& aLoad) {
+      return aLoad.mLoad == flows::UpstreamLoad{};
+    });
+    UpdateSpeeds(aCore, sender, *aMessage.mLoads, aNow);
     aCore.mPeerProbeCandidates[sender] = aMessage.mProbeCandidates;
   }
   for (const auto& loads : aMessage.mDataCentreLoads) {
@@ -226,6 +284,12 @@
     return found == aCore.mPeers.mPeers.end() || !IsAlive(found->second, aNow);
   };
   std::erase_if(aCore.mPeerLoads, isPeerDead);
+  const auto removed =
+    std::erase_if(aCore.mPeerSpeeds, [&](const auto& aEntry) {
+      return isPeerDead(aEntry) ||
+             aNow - aEntry.second.mReceivedAt >= kSpeedReportRetention;
+    });
+  aCore.mPeerSpeedsChanged = aCore.mPeerSpeedsChanged || removed > 0;
   std::erase_if(aCore.mPeerProbeCandidates, isPeerDead);
 }
 
@@ -239,6 +303,18 @@
   return loads;
 }
 
+std::map<flows::UpstreamToken, flows::SharedSpeed>
+SharedSpeeds(const FleetCore& aCore)
+{
+  std::map<flows::UpstreamToken, flows::SharedSpeed> speeds;
+  for (const auto& [endpoint, reported] : aCore.mPeerSpeeds) {
+    for (const auto& [token, log] : reported.mLogSpeeds) {
+      flows::AddSpeedReport(speeds[token], log);
+    }
+  }
+  return speeds;
+}
+
 std::map<state::DataCentreId, double>
 MeanUtilisations(const FleetCore& aCore)
 {
--- a/src/sassafrasknot/fleet/load_exchange.hpp
+++ b/src/sassafrasknot/fleet/load_exchange.hpp
@@ -7,6 +7,10 @@
 
 namespace sassafrasknot::fleet {
 
+/// Time for which reported speeds count, unless their sender dies or replaces
+/// them before: several periods of their messages, so that some may be lost.
+constexpr std::chrono::milliseconds kSpeedReportRetention{ 3500 };
+
 /// @brief Returns a message that contains only the sender, its revision and the
 /// age of that revision's confirmation.
 /// @param aCore core of the sending instance
@@ -44,7 +48,7 @@
                      FleetActions& aActions,
                      state::TimePoint aNow);
 
-/// @brief Records the loads and probe candidates of a message.
+/// @brief Records the loads, speeds and probe candidates of a message.
 /// @param aCore core of the receiving instance
 /// @param aMessage received message
 /// @param aNow current time on the steady clock
@@ -53,8 +57,9 @@
             const FleetMessage& aMessage,
             state::TimePoint aNow);
 
-/// @brief Removes the loads and probe candidates of dead instances, and the
-/// loads of data centres that were aggregated longer than kDeadTimeout ago.
+/// @brief Removes the loads, speeds and probe candidates of dead instances, the
+/// loads of data centres that were aggregated longer than kDeadTimeout ago, and
+/// the speeds that were received longer than kSpeedReportRetention ago.
 /// @param aNow current time on the steady clock
 void
 RemoveStaleLoads(FleetCore& aCore, state::TimePoint aNow);
--- a/src/sassafrasknot/fleet/load_exchange_test.cpp
+++ b/src/sassafrasknot/fleet/load_exchange_test.cpp
@@ -1,5 +1,8 @@
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
+#include <utility>
 
 #include "load_exchange.hpp"
 #include <gtest/gtest.h>
@@ -164,5 +167,89 @@
   EXPECT_EQ(core.mReportedReachable.at(78), kStart);
 }
 
+/// Returns the loads that a tick sends to the instance with address 2.
+std::vector<UpstreamLoadEntry>
+LoadsToNeighbour(FleetCore& aCore, state::TimePoint aNow)
+{
+  for (const auto& outgoing : OnTick(aCore, aNow).mSend) {
+    if (outgoing.mMessage.mLoads &&
+        std::ranges::find(outgoing.mReceivers, EndpointOf(2)) !=
+          outgoing.mReceivers.end()) {
+      return *outgoing.mMessage.mLoads;
+    }
+  }
+  return {};
+}
+
+// Guards against speeds of idle upstreams that are never sent, and against
+// messages that grow by them more often than speeds change. A new instance does
+// not wait for a period, since it has no estimates.
+TEST(LoadExchange, SendsSpeedsOncePerPeriodAndToNewNeighbours)
+{
+  auto core = MakeLargeCore(3, kStart);
+  core.mOwnSpeeds = { { 77, 60 }, { 78, 150 } };
+  const std::vector<UpstreamLoadEntry> withSpeeds{ { 77, { 3, 2 }, 60 },
+                                                   { 78, {}, 150 } };
+  EXPECT_EQ(LoadsToNeighbour(core, kStart), withSpeeds);
+  EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(500)), core.mOwnLoads);
+  FleetMessage message;
+  message.mSender = { EndpointOf(9), { "a" }, 9 };
+  OnMessage(core, message, kStart + milliseconds(510));
+  EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(600)), withSpeeds);
+  EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(700)), core.mOwnLoads);
+  EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(1600)), withSpeeds);
+}
+
+FleetMessage
+MakeSpeedMessage(std::uint32_t aSender, std::uint32_t aSpeedPercent)
+{
+  FleetMessage message;
+  message.mSender = { EndpointOf(aSender), { "a" }, aSender };
+  message.mLoads = std::vector{ UpstreamLoadEntry{ 77, {}, aSpeedPercent } };
+  return message;
+}
+
+// Guards against speeds of a dead or isolated instance that count for ever, and
+// against speeds that are lost when a message has none, as those of earlier
+// versions and most others do.
+TEST(LoadExchange, SpeedsCountUntilTheirSenderIsSilent)
+{
+  auto core = MakeLargeCore(3, kStart);
+  OnMessage(core, MakeSpeedMessage(2, 50), kStart);
+  OnMessage(core, MakeSpeedMessage(3, 200), kStart);
+  EXPECT_EQ(SharedSpeeds(core).at(77).mReporters, 2U);
+  EXPECT_NEAR(SharedSpeeds(core).at(77).mMeanLog, 0, 1e-9);
+  EXPECT_TRUE(PeerLoads(core).empty());
+  // Instance 3 is isolated; instance 2 reports a new speed once.
+  for (auto now = kStart; now < kStart + std::chrono::seconds(5);
+       now += milliseconds(25)) {
+    const auto age = now - kStart;
+    OnMessage(
+      core, MakeSpeedMessage(2, age == std::chrono::seconds(2) ? 60 : 0), now);
+    OnTick(core, now);
+  }
+  EXPECT_TRUE(std::exchange(core.mPeerSpeedsChanged, false));
+  EXPECT_EQ(SharedSpeeds(core).at(77).mReporters, 1U);
+  EXPECT_NEAR(SharedSpeeds(core).at(77).mMeanLog, std::log(0.6), 1e-9);
+  // Then both are.
+  for (auto now = kStart + std::chrono::seconds(5);
+       now < kStart + std::chrono::seconds(10);
+       now += milliseconds(25)) {
+    OnTick(core, now);
+  }
+  EXPECT_TRUE(SharedSpeeds(core).empty());
+  EXPECT_TRUE(core.mPeerSpeedsChanged);
+}
+
+// Guards against defective speeds that are used or remain unnoticed.
+TEST(LoadExchange, IgnoresSpeedsOutOfRange)
+{
+  auto core = MakeLargeCore(3, kStart);
+  OnMessage(core, MakeSpeedMessage(2, 19), kStart);
+  OnMessage(core, MakeSpeedMessage(3, 501), kStart);
+  EXPECT_TRUE(SharedSpeeds(core).empty());
+  EXPECT_EQ(core.mIgnoredSpeeds, 2U);
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
--- a/src/sassafrasknot/flows/answer_learning.cpp
+++ b/src/sassafrasknot/flows/answer_learning.cpp
@@ -40,6 +40,8 @@
   const Work taken = std::max(aAnswer.mTaken, kShortestTime);
   const auto* route = FindRouteWork(aModel, aAnswer.mRoute, aNow);
   const double speed = Speed(aRecord.mSpeed, aNow);
+  // The speed before this answer.
+  const double ownSpeed = OwnSpeed(aRecord.mSpeed, aNow);
   const auto& service = aRecord.mUpstream.mService;
   if (route != nullptr) {
     const Work usual(
@@ -57,7 +59,7 @@
   }
   if (aAnswer.mFoundFreeSlot) {
     RecordWork(aModel,
-               { aAnswer.mRoute, service, aAnswer.mCaller, taken * speed },
+               { aAnswer.mRoute, service, aAnswer.mCaller, taken * ownSpeed },
                aNow);
   }
 }
--- a/src/sassafrasknot/flows/cost_aware_placement_test.cpp
+++ b/src/sassafrasknot/flows/cost_aware_placement_test.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/flows/flow_router.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 #include "flow_fixture_test.hpp"
@@ -97,6 +98,74 @@
   EXPECT_EQ(Speed(fixture.Record("i-1").mSpeed, At(fixture.mTime)), 1);
 }
 
+// Guards against a new instance that places flows as if all upstreams were
+// equal until it has learned their speeds itself: before its first answer, it
+// uses what its neighbours report.
+TEST(CostAwarePlacement, NewInstancePlacesByTheSpeedsOfItsNeighbours)
+{
+  LearningFixture fixture;
+  SetSharedSpeeds(fixture.mRouter.mUpstreams,
+                  { { TokenOf("i-1"), { std::log(0.5), 3 } },
+                    { TokenOf("i-2"), { std::log(1.5), 3 } } },
+                  At(fixture.mTime));
+  EXPECT_EQ(fixture.Open(1000, kRequestPort, fixture.mTime).mUpstream->mToken,
+            TokenOf("i-2"));
+  int atFaster = 0;
+  for (std::uint16_t port = 1001; port < 1008; ++port) {
+    const auto decision = fixture.Open(port, kRequestPort, fixture.mTime);
+    atFaster += decision.mUpstream->mToken == TokenOf("i-2") ? 1 : 0;
+  }
+  EXPECT_GE(atFaster, 4);
+  SetSharedSpeeds(fixture.mRouter.mUpstreams, {}, At(fixture.mTime));
+  EXPECT_EQ(Speed(fixture.Record("i-2").mSpeed, At(fixture.mTime)), 1);
+}
+
+// Guards against an upstream that restarts and is judged by what neighbours
+// still report of its earlier process, as they learn of the restart later.
+TEST(CostAwarePlacement, RestartedUpstreamIgnoresReportsOfItsEarlierProcess)
+{
+  LearningFixture fixture;
+  const std::map<UpstreamToken, SharedSpeed> speeds{
+    { TokenOf("i-1"), { std::log(0.5), 3 } },
+    { TokenOf("i-2"), { std::log(0.5), 3 } }
+  };
+  const auto share = [&] {
+    SetSharedSpeeds(fixture.mRouter.mUpstreams, speeds, At(fixture.mTime));
+    return Speed(fixture.Record("i-1").mSpeed, At(fixture.mTime));
+  };
+  EXPECT_NEAR(share(), 0.5, 1e-9);
+  fixture.mDirectory.mUpstreams[0].mUpstream.mStarted = milliseconds(1);
+  fixture.Publish(fixture.mTime);
+  EXPECT_EQ(Speed(fixture.Record("i-1").mSpeed, At(fixture.mTime)), 1);
+  EXPECT_EQ(share(), 1);
+  EXPECT_NEAR(
+    Speed(fixture.Record("i-2").mSpeed, At(fixture.mTime)), 0.5, 1e-9);
+  fixture.mTime += kSharedSpeedDelay;
+  EXPECT_NEAR(share(), 0.5, 1e-9);
+}
+
+// Guards against an upstream that fails requests quickly and is reported as
+// fast to instances that have seen none of its answers.
+TEST(CostAwarePlacement, UpstreamThatFailsQuicklyIsNotReportedAsFast)
+{
+  for (const int usualRequests : { 0, 60 }) {
+    LearningFixture fixture;
+    const std::map<UpstreamToken, milliseconds> usual{
+      { TokenOf("i-1"), milliseconds(20) }, { TokenOf("i-2"), milliseconds(20) }
+    };
+    for (int index = 0; index < usualRequests; ++index) {
+      fixture.Request(usual);
+    }
+    for (int index = 0; index < 100; ++index) {
+      fixture.Request({ { TokenOf("i-1"), milliseconds(1) },
+                        { TokenOf("i-2"), milliseconds(20) } });
+    }
+    EXPECT_LT(
+      ReportedSpeedPercent(fixture.Record("i-1").mSpeed, At(fixture.mTime)),
+      120U);
+  }
+}
+
 // Guards against a black hole: an upstream that fails requests within 1 ms must
 // not look fast, and must not receive the requests of the others.
 TEST(CostAwarePlacement, UpstreamThatFailsQuicklyIsNotPreferred)
--- a/src/sassafrasknot/flows/placement_simulation_test.cpp
+++ b/src/sassafrasknot/flows/placement_simulation_test.cpp
@@ -87,6 +87,7 @@
   std::priority_queue<ActiveRequest, std::vector<ActiveRequest>, EndsLater>
     mEnds;
   std::uint64_t mRequests = 0;
+  Seconds mNextSpeeds{ 0 };
 };
 
 double
@@ -269,11 +270,38 @@
   }
 }
 
+/// Gives all instances the speeds that the others report each second.
+void
+ShareSpeeds(Simulation& aSimulation, Seconds aNow)
+{
+  if (aNow < aSimulation.mNextSpeeds || !aSimulation.mSettings.mSharesSpeeds) {
+    return;
+  }
+  aSimulation.mNextSpeeds = aNow + Seconds(1);
+  for (std::size_t index = 0; index < aSimulation.mUpstreams.size(); ++index) {
+    std::vector<SharedSpeed> shared(aSimulation.mInstances.size());
+    for (std::size_t from = 0; from < shared.size(); ++from) {
+      const auto log = LogOfReportedSpeed(ReportedSpeedPercent(
+        aSimulation.mInstances[from].mRecords[index].mSpeed, At(aNow)));
+      for (std::size_t to = 0; log && to < shared.size(); ++to) {
+        if (to != from) {
+          AddSpeedReport(shared[to], *log);
+        }
+      }
+    }
+    for (std::size_t to = 0; to < shared.size(); ++to) {
+      SetSharedSpeed(aSimulation.mInstances[to].mRecords[index].mSpeed,
+                     shared[to]);
+    }
+  }
+}
+
 /// Places a request and returns its time in the system.
 ActiveRequest
 Arrive(Simulation& aSimulation, Seconds aNow)
 {
   RefreshReports(aSimulation, aNow);
+  ShareSpeeds(aSimulation, aNow);
   while (!aSimulation.mEnds.empty() && aSimulation.mEnds.top().mEnd <= aNow) {
     End(aSimulation, aSimulation.mEnds.top());
     aSimulation.mEnds.pop();
--- a/src/sassafrasknot/flows/placement_simulation_test.hpp
+++ b/src/sassafrasknot/flows/placement_simulation_test.hpp
@@ -59,6 +59,8 @@
   /// One upstream answers this share of its requests after 1 ms without running
   /// them.
   double mFailingShare = 0;
+  /// Instances report their speeds to each other once a second.
+  bool mSharesSpeeds = true;
 };
 
 /// Times in the system of all requests after the first 10 s.
--- a/src/sassafrasknot/flows/upstream_speed_test.cpp
+++ b/src/sassafrasknot/flows/upstream_speed_test.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/flows/upstream_speed.hpp"
 
+#include <cmath>
 #include <random>
 
 #include "flow_fixture_test.hpp"
@@ -64,5 +65,49 @@
   EXPECT_LT(Speed(estimate, At(milliseconds(0))), 0.75);
 }
 
+// Guards against reports that outweigh own samples, and against a weak own
+// estimate that ignores what other instances know: they count as 6 samples.
+TEST(UpstreamSpeed, ReportsOfOthersAreThePriorOfOwnSamples)
+{
+  SharedSpeed shared;
+  AddSpeedReport(shared, std::log(0.4));
+  AddSpeedReport(shared, std::log(0.9));
+  SpeedEstimate estimate;
+  SetSharedSpeed(estimate, shared);
+  EXPECT_EQ(estimate.mShared.mReporters, 2U);
+  EXPECT_NEAR(Speed(estimate, At(milliseconds(0))), 0.6, 1e-9);
+  for (int index = 0; index < 6; ++index) {
+    RecordSpeed(estimate, kUsual, Work(kUsual) / 1.5, At(milliseconds(0)));
+  }
+  EXPECT_NEAR(Speed(estimate, At(milliseconds(0))), std::sqrt(0.6 * 1.5), 1e-9);
+  EXPECT_NEAR(OwnSpeed(estimate, At(milliseconds(0))), std::sqrt(1.5), 1e-9);
+  SetSharedSpeed(estimate, {});
+  EXPECT_EQ(Speed(estimate, At(milliseconds(0))),
+            OwnSpeed(estimate, At(milliseconds(0))));
+}
+
+// Guards against reports of weak or old estimates, and against reports that
+// repeat those of others, so that they would be counted twice.
+TEST(UpstreamSpeed, OnlyRecentOwnEstimatesAreReported)
+{
+  SpeedEstimate estimate;
+  SetSharedSpeed(estimate, { std::log(3.0), 8 });
+  for (int index = 0; index < 6; ++index) {
+    EXPECT_EQ(ReportedSpeedPercent(estimate, At(milliseconds(0))), 0U);
+    RecordSpeed(estimate, kUsual, Work(kUsual) * 2, At(milliseconds(0)));
+  }
+  EXPECT_EQ(ReportedSpeedPercent(estimate, At(milliseconds(10000))), 50U);
+  EXPECT_EQ(ReportedSpeedPercent(estimate, At(milliseconds(10001))), 0U);
+}
+
+// Guards against defective reports that make an upstream look idle or useless.
+TEST(UpstreamSpeed, ReportsOutOfRangeAreRejected)
+{
+  EXPECT_FALSE(LogOfReportedSpeed(kMinSpeedPercent - 1));
+  EXPECT_FALSE(LogOfReportedSpeed(kMaxSpeedPercent + 1));
+  EXPECT_NEAR(LogOfReportedSpeed(kMinSpeedPercent).value(), -1.6, 0.01);
+  EXPECT_NEAR(LogOfReportedSpeed(kMaxSpeedPercent).value(), 1.6, 0.01);
+}
+
 } // namespace
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -39,9 +39,13 @@
                      aRecord.mUpstream.mId != upstream.mId ||
                      aRecord.mUpstream.mStarted != upstream.mStarted;
   if (isNew) {
+    const bool isRestart = aRecord.mToken != kNoToken;
     // The flow table still has entries that count in this load.
     aRecord = UpstreamRecord{ .mOwnLoad = aRecord.mOwnLoad,
                               .mExcessBacklog = aRecord.mExcessBacklog };
+    if (isRestart) {
+      aRecord.mIgnoreSharedSpeedUntil = aNow + kSharedSpeedDelay;
+    }
   }
   if (isNew || aRecord.mUpstream.mWarmUpLeft != upstream.mWarmUpLeft) {
     aRecord.mWarmUpEnd = aNow + upstream.mWarmUpLeft;
@@ -137,6 +141,26 @@
   }
 }
 
+void
+SetSharedSpeeds(UpstreamTable& aTable,
+                const std::map<UpstreamToken, SharedSpeed>& aSpeeds,
+                state::TimePoint aNow)
+{
+  for (const auto token : std::exchange(aTable.mWithSharedSpeed, {})) {
+    if (auto* record = FindUpstream(aTable, token);
+        record != nullptr && !aSpeeds.contains(token)) {
+      SetSharedSpeed(record->mSpeed, {});
+    }
+  }
+  for (const auto& [token, speed] : aSpeeds) {
+    auto* record = FindUpstream(aTable, token);
+    if (record != nullptr && aNow >= record->mIgnoreSharedSpeedUntil) {
+      SetSharedSpeed(record->mSpeed, speed);
+      aTable.mWithSharedSpeed.push_back(token);
+    }
+  }
+}
+
 double
 LocalUtilisation(const UpstreamTable& aTable)
 {
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -98,26 +98,35 @@
 void
 ToWire(const std::vector<fleet::UpstreamLoadEntry>& aLoads, WireLoads& aWire)
 {
+  const bool hasSpeeds = std::ranges::any_of(
+    aLoads, [](const auto& aLoad) { return aLoad.mSpeedPercent != 0; });
   for (const auto& load : aLoads) {
     aWire.add_tokens(load.mToken);
     aWire.add_feeds(load.mLoad.mFeeds);
     aWire.add_at_work(load.mLoad.mActiveRequests);
+    if (hasSpeeds) {
+      aWire.add_speed_percent(load.mSpeedPercent);
+    }
   }
 }
 
 state::Result<std::vector<fleet::UpstreamLoadEntry>>
 FromWire(const WireLoads& aWire)
 {
+  // Earlier versions send no speeds.
+  const bool hasSpeeds = aWire.speed_percent_size() > 0;
   if (aWire.feeds_size() != aWire.tokens_size() ||
-      aWire.at_work_size() != aWire.tokens_size()) {
+      aWire.at_work_size() != aWire.tokens_size() ||
+      (hasSpeeds && aWire.speed_percent_size() != aWire.tokens_size())) {
     return Malformed(
       "fleet message: lists of loads by upstream differ in length");
   }
   std::vector<fleet::UpstreamLoadEntry> loads;
   loads.reserve(static_cast<std::size_t>(aWire.tokens_size()));
   for (int index = 0; index < aWire.tokens_size(); ++index) {
-    loads.push_back(
-      { aWire.tokens(index), { aWire.feeds(index), aWire.at_work(index) } });
+    loads.push_back({ aWire.tokens(index),
+                      { aWire.feeds(index), aWire.at_work(index) },
+                      hasSpeeds ? aWire.speed_percent(index) : 0 });
   }
   return loads;
 }
--- a/src/sassafrasknot/messages/fleet_codec_test.cpp
+++ b/src/sassafrasknot/messages/fleet_codec_test.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/messages/fleet_codec.hpp"
 
+#include "generated/fleet.pb.h"
 #include <boost/endian/conversion.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -25,7 +26,8 @@
   message.mConfirmedAge = std::chrono::milliseconds(40);
   message.mMembers = { { { { { 9 }, 7720 }, { "b" }, 5 },
                          std::chrono::milliseconds(7) } };
-  message.mLoads = std::vector{ fleet::UpstreamLoadEntry{ 4, { 2, 1 } } };
+  message.mLoads = std::vector{ fleet::UpstreamLoadEntry{ 4, { 2, 1 }, 60 },
+                                fleet::UpstreamLoadEntry{ 5, { 0, 1 } } };
   message.mDataCentreLoads = {
     { { "b" }, std::chrono::milliseconds(3), { { 8, { 1, 0 } } }, 0.25 }
   };
@@ -59,6 +61,36 @@
   EXPECT_EQ(result.mChanges->mRecords, message.mChanges->mRecords);
 }
 
+// Guards against instances of different versions that reject each other's
+// messages: earlier versions send and know no speeds.
+TEST(FleetCodec, SpeedsAreOptional)
+{
+  WireMessage wire;
+  const auto encoded = EncodeMessage(MakeMessage());
+  ASSERT_TRUE(wire.ParseFromString(encoded));
+  EXPECT_EQ(wire.loads().speed_percent_size(), 2);
+  wire.mutable_loads()->clear_speed_percent();
+  const auto decoded = DecodeMessage(Bytes(wire.SerializeAsString()));
+  ASSERT_TRUE(decoded);
+  ASSERT_EQ(decoded.value().mLoads->size(), 2U);
+  EXPECT_EQ(decoded.value().mLoads->at(0).mLoad, (flows::UpstreamLoad{ 2, 1 }));
+  EXPECT_EQ(decoded.value().mLoads->at(0).mSpeedPercent, 0U);
+  // At most 2 bytes per upstream, with the tag and length of the list.
+  EXPECT_LE(encoded.size(), wire.SerializeAsString().size() + 2 * 2 + 2);
+  wire.mutable_loads()->add_speed_percent(60);
+  EXPECT_FALSE(DecodeMessage(Bytes(wire.SerializeAsString())));
+}
+
+// Guards against messages without any speed that are longer than before.
+TEST(FleetCodec, NoListIsSentWithoutSpeeds)
+{
+  auto message = MakeMessage();
+  message.mLoads->at(0).mSpeedPercent = 0;
+  WireMessage wire;
+  ASSERT_TRUE(wire.ParseFromString(EncodeMessage(message)));
+  EXPECT_EQ(wire.loads().speed_percent_size(), 0);
+}
+
 // Guards against configurations that take a second to transfer over a link of
 // 10 Mbit/s.
 TEST(FleetCodec, ChangesAreCompressed)
