Test that shared speeds keep their scale

With the work of requests learned by shared speeds, the geometric mean of the speeds falls to 0.46 within 600 s at a load of 0.8 in the model, since no instance's scale is bound to 1 any more.

--- a/src/sassafrasknot/flows/placement_comparison_test.cpp
+++ b/src/sassafrasknot/flows/placement_comparison_test.cpp
@@ -109,6 +109,18 @@
   }
 }
 
+// Guards against speeds of all upstreams that fall or rise together over time,
+// because instances take over each other's scale: those without estimates have
+// speed 1. The geometric mean of the true speeds is 0.99.
+TEST(PlacementSharing, KeepsTheScaleOfSpeeds)
+{
+  SimulationSettings settings{ kSteady };
+  settings.mDuration = Seconds(600);
+  const auto speed = Simulate(Policy::RemainingWork, settings).mMeanSpeed;
+  EXPECT_GT(speed, 0.75);
+  EXPECT_LT(speed, 1.3);
+}
+
 // Guards against a black hole: the first upstream, which is slow, answers 0.8
 // of its requests after 1 ms without running them.
 TEST(PlacementComparisonFailing, NoMoreThanTheMeanShare)
--- a/src/sassafrasknot/flows/placement_simulation_test.cpp
+++ b/src/sassafrasknot/flows/placement_simulation_test.cpp
@@ -15,7 +15,6 @@
 constexpr Seconds kBaseWork{ 0.015 };
 /// 97% between 0.8 and 1.2 of the base, 3% seven times that.
 constexpr Seconds kMeanWork = kBaseWork * 1.18;
-constexpr Seconds kDuration{ 70 };
 constexpr Seconds kMeasuredFrom{ 10 };
 constexpr std::array kSpeeds{ 0.6, 1.0, 1.6 };
 const state::Endpoint kRoute{ kServiceAddress, kRequestPort };
@@ -357,7 +356,7 @@
   std::vector<Seconds> times;
   std::uint64_t first = 0;
   Seconds now{ 0 };
-  while (now < kDuration) {
+  while (now < aSettings.mDuration) {
     now += Seconds(-std::log(1 - Uniform(simulation.mRandom)) /
                    Rate(aSettings, now));
     const auto request = Arrive(simulation, now);
@@ -379,6 +378,15 @@
                                                      times, 10 * kMeanWork)) /
                  count;
   result.mFirstShare = static_cast<double>(first) / count;
+  double sumOfLogs = 0;
+  for (const auto& instance : simulation.mInstances) {
+    for (const auto& record : instance.mRecords) {
+      sumOfLogs += std::log(Speed(record.mSpeed, At(now)));
+    }
+  }
+  result.mMeanSpeed =
+    std::exp(sumOfLogs /
+             static_cast<double>(aSettings.mInstances * aSettings.mUpstreams));
   return result;
 }
 
--- a/src/sassafrasknot/flows/placement_simulation_test.hpp
+++ b/src/sassafrasknot/flows/placement_simulation_test.hpp
@@ -61,6 +61,7 @@
   double mFailingShare = 0;
   /// Instances report their speeds to each other once a second.
   bool mSharesSpeeds = true;
+  Seconds mDuration{ 70 };
 };
 
 /// Times in the system of all requests after the first 10 s.
@@ -72,9 +73,11 @@
   double mLate = 0;
   /// Share of requests that the first upstream received.
   double mFirstShare = 0;
+  /// Geometric mean of the speeds that instances have at the end.
+  double mMeanSpeed = 1;
 };
 
-/// @brief Runs 70 s of requests.
+/// @brief Runs requests for SimulationSettings::mDuration.
 /// @param aPolicy how instances choose upstreams
 /// @param aSettings load and sizes
 /// @return times in the system
