Bound speeds without std::views, which clang does not accept here

The lint (clang with the library of GCC 12) rejected std::views::take over a map. A test guards the bound of 256 upstreams without load per message.

--- a/src/sassafrasknot/fleet/load_exchange.cpp
+++ b/src/sassafrasknot/fleet/load_exchange.cpp
@@ -1,7 +1,6 @@
 #include "load_exchange.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace sassafrasknot::fleet {
 namespace {
@@ -81,7 +80,11 @@
       speeds.erase(found);
     }
   }
-  for (const auto& [token, speed] : speeds | std::views::take(kMaxIdleSpeeds)) {
+  const auto maxEntries = loads.size() + kMaxIdleSpeeds;
+  for (const auto& [token, speed] : speeds) {
+    if (loads.size() == maxEntries) {
+      break;
+    }
     loads.push_back({ token, {}, speed });
   }
   return loads;
--- a/src/sassafrasknot/fleet/load_exchange_test.cpp
+++ b/src/sassafrasknot/fleet/load_exchange_test.cpp
@@ -200,6 +200,20 @@
   EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(1600)), withSpeeds);
 }
 
+// Guards against messages that exceed what receivers accept (8 KiB), so that
+// they lose the loads: an instance without a subset may know any number of
+// upstreams.
+TEST(LoadExchange, BoundsTheSpeedsOfIdleUpstreams)
+{
+  auto core = MakeLargeCore(3, kStart);
+  for (std::uint32_t token = 100; token < 1100; ++token) {
+    core.mOwnSpeeds[token] = 150;
+  }
+  const auto loads = LoadsToNeighbour(core, kStart);
+  EXPECT_EQ(loads.size(), 257U);
+  EXPECT_EQ(loads.front(), core.mOwnLoads.front());
+}
+
 FleetMessage
 MakeSpeedMessage(std::uint32_t aSender, std::uint32_t aSpeedPercent)
 {
--- a/src/sassafrasknot/messages/fleet_codec_test.cpp
+++ b/src/sassafrasknot/messages/fleet_codec_test.cpp
@@ -75,8 +75,10 @@
   ASSERT_EQ(decoded.value().mLoads->size(), 2U);
   EXPECT_EQ(decoded.value().mLoads->at(0).mLoad, (flows::UpstreamLoad{ 2, 1 }));
   EXPECT_EQ(decoded.value().mLoads->at(0).mSpeedPercent, 0U);
-  // At most 2 bytes per upstream, with the tag and length of the list.
-  EXPECT_LE(encoded.size(), wire.SerializeAsString().size() + 2 * 2 + 2);
+  // Two upstreams with at most 2 bytes each, and the tag and length of the
+  // list.
+  constexpr std::size_t kMaxListBytes = 6;
+  EXPECT_LE(encoded.size(), wire.SerializeAsString().size() + kMaxListBytes);
   wire.mutable_loads()->add_speed_percent(60);
   EXPECT_FALSE(DecodeMessage(Bytes(wire.SerializeAsString())));
 }
