--- a/src/sassafrasknot/flows/placement_simulation_test.cpp
+++ b/src/sassafrasknot/flows/placement_simulation_test.cpp
@@ -15,7 +15,6 @@
 constexpr Seconds kBaseWork{ 0.015 };
 /// 97% between 0.8 and 1.2 of the base, 3% seven times that.
 constexpr Seconds kMeanWork = kBaseWork * 1.18;
-constexpr Seconds kDuration{ 70 };
 constexpr Seconds kMeasuredFrom{ 10 };
 constexpr std::array kSpeeds{ 0.6, 1.0, 1.6 };
 const state::Endpoint kRoute{ kServiceAddress, kRequestPort };
@@ -87,6 +86,7 @@
   std::priority_queue<ActiveRequest, std::vector<ActiveRequest>, EndsLater>
     mEnds;
   std::uint64_t mRequests = 0;
+  Seconds mNextSpeeds{ 0 };
 };
 
 double
@@ -269,11 +269,38 @@
   }
 }
 
+/// Gives all instances the speeds that the others report each second.
+void
+ShareSpeeds(Simulation& aSimulation, Seconds aNow)
+{
+  if (aNow < aSimulation.mNextSpeeds || !aSimulation.mSettings.mSharesSpeeds) {
+    return;
+  }
+  aSimulation.mNextSpeeds = aNow + Seconds(1);
+  for (std::size_t index = 0; index < aSimulation.mUpstreams.size(); ++index) {
+    std::vector<SharedSpeed> shared(aSimulation.mInstances.size());
+    for (std::size_t from = 0; from < shared.size(); ++from) {
+      const auto log = LogOfReportedSpeed(ReportedSpeedPercent(
+        aSimulation.mInstances[from].mRecords[index].mSpeed, At(aNow)));
+      for (std::size_t to = 0; log && to < shared.size(); ++to) {
+        if (to != from) {
+          AddSpeedReport(shared[to], *log);
+        }
+      }
+    }
+    for (std::size_t to = 0; to < shared.size(); ++to) {
+      SetSharedSpeed(aSimulation.mInstances[to].mRecords[index].mSpeed,
+                     shared[to]);
+    }
+  }
+}
+
 /// Places a request and returns its time in the system.
 ActiveRequest
 Arrive(Simulation& aSimulation, Seconds aNow)
 {
   RefreshReports(aSimulation, aNow);
+  ShareSpeeds(aSimulation, aNow);
   while (!aSimulation.mEnds.empty() && aSimulation.mEnds.top().mEnd <= aNow) {
     End(aSimulation, aSimulation.mEnds.top());
     aSimulation.mEnds.pop();
@@ -329,7 +356,7 @@
   std::vector<Seconds> times;
   std::uint64_t first = 0;
   Seconds now{ 0 };
-  while (now < kDuration) {
+  while (now < aSettings.mDuration) {
     now += Seconds(-std::log(1 - Uniform(simulation.mRandom)) /
                    Rate(aSettings, now));
     const auto request = Arrive(simulation, now);
@@ -351,6 +378,15 @@
                                                      times, 10 * kMeanWork)) /
                  count;
   result.mFirstShare = static_cast<double>(first) / count;
+  double sumOfLogs = 0;
+  for (const auto& instance : simulation.mInstances) {
+    for (const auto& record : instance.mRecords) {
+      sumOfLogs += std::log(Speed(record.mSpeed, At(now)));
+    }
+  }
+  result.mMeanSpeed =
+    std::exp(sumOfLogs /
+             static_cast<double>(aSettings.mInstances * aSettings.mUpstreams));
   return result;
 }
 
