Admit new flows to an overloaded service within limits per upstream

Upstreams with full queues reject requests, and each rejection ends an attempt of the caller. An early answer of an upstream that was busy when the request was sent now counts as a rejection. It sets a limit of this instance's own active requests there, adapted by additive increase and multiplicative decrease. While all candidates are at their limits, an opening packet is discarded (service_busy), so that the caller's retransmission tries again; at the last one it is reset as not run (service_full). The table of deferred flows is shared with that of uploads.

--- a/include/sassafrasknot/flows/answer_learning.hpp
+++ b/include/sassafrasknot/flows/answer_learning.hpp
@@ -19,6 +19,18 @@
   bool mFoundFreeSlot = false;
 };
 
+/// @brief Returns whether an answer is much earlier than usual.
+/// @param aModel work of requests
+/// @param aRecord the upstream
+/// @param aAnswer the answer
+/// @param aNow current time on the steady clock
+/// @return whether it is; false while the work of the route is not learned
+bool
+IsEarlyAnswer(const WorkModel& aModel,
+              const UpstreamRecord& aRecord,
+              const AnsweredRequest& aAnswer,
+              state::TimePoint aNow);
+
 /// @brief Learns the work of requests and the speed of their upstream from an
 /// answer, each with the present estimate of the other. An answer that is much
 /// earlier than usual changes neither, but counts as backlog; see EarlyAnswers.
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -53,15 +53,18 @@
   UnknownToken,  ///< The token's upstream is not known here.
   UpstreamUnresponsive, ///< The upstream is unresponsive; the caller may try
                         ///< again.
-  Evacuated, ///< The upstream's data centre is evacuated, and the flow waits
-             ///< until its answer is overdue.
-  Deferred,  ///< The link has no capacity for a new upload; the caller
-             ///< retransmits its opening packet.
-  LinkFull,  ///< The same, at the caller's last retransmission.
+  Evacuated,   ///< The upstream's data centre is evacuated, and the flow waits
+               ///< until its answer is overdue.
+  Deferred,    ///< The link has no capacity for a new upload; the caller
+               ///< retransmits its opening packet.
+  LinkFull,    ///< The same, at the caller's last retransmission.
+  ServiceBusy, ///< All upstreams are at their limits; the caller retransmits
+               ///< its opening packet.
+  ServiceFull, ///< The same, at the caller's last retransmission.
 };
 
 /// @brief Number of reasons.
-constexpr std::size_t kReasonCount = 14;
+constexpr std::size_t kReasonCount = 16;
 
 /// @brief Returns the name of a reason as it stands in logs and metrics.
 /// @param aReason reason of a decision
@@ -169,6 +172,8 @@
   std::map<state::DataCentreId, std::uint64_t> mEvacuationRefusals;
   /// Uploads on this instance's own link.
   BulkAdmission mBulk;
+  /// Limits of upstreams that reject requests.
+  CapacityAdmission mCapacity;
   /// View of the fleet, by which one instance places flows on a cold upstream.
   ColdPlacement mColdPlacement;
   /// Packets that were forwarded before this time, the end of the last stall or
--- a/include/sassafrasknot/flows/placement.hpp
+++ b/include/sassafrasknot/flows/placement.hpp
@@ -56,6 +56,8 @@
   UpstreamToken mAvoid = kNoToken;
   /// Expected work of its request, in units of the mean work.
   double mWork = 1;
+  /// Class of a flow that is placed within the limits of CapacityAdmission.
+  std::optional<PriorityClass> mClass;
 };
 
 /// @brief Why an upstream was chosen over the next best one.
@@ -66,6 +68,7 @@
   LessLoad,   ///< It has less backlog per slot or, for feeds, fewer of them.
   Faster,     ///< It works faster.
   LowPenalty, ///< The next best is in another data centre, cold or expired.
+  NoCapacity, ///< None was chosen: all candidates are at their limits.
 };
 
 /// @brief Returns the name of a reason as it stands in logs.
@@ -101,13 +104,15 @@
 /// ones of all data centres if no upstream of the subset admits the flow. If
 /// the subset's data centre is evacuated, flows are spread over the other ones
 /// in proportion to their spare capacity. A cold upstream whose limit does not
-/// admit the flow is never chosen.
+/// admit the flow is never chosen. If aRequest.mClass is set, nor is one
+/// without capacity, unless the service has no other upstream.
 /// @param aPool the service's upstreams
 /// @param aRequest the flow
 /// @param aPolicy penalties, weights and numbers of random choices
 /// @param aRandom source of random numbers
 /// @param aNow current time on the steady clock
-/// @param aReason receives why the upstream was chosen, unless it is null
+/// @param aReason receives why the upstream was chosen, or NoCapacity, unless
+/// it is null
 /// @return the upstream, or null if none accepts new flows
 UpstreamRecord*
 ChooseUpstream(const ServicePool& aPool,
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_UPSTREAM_TABLE_HPP
 #define SASSAFRASKNOT_FLOWS_UPSTREAM_TABLE_HPP
 
+#include "sassafrasknot/flows/capacity_admission.hpp"
 #include "sassafrasknot/flows/cold_admission.hpp"
 #include "sassafrasknot/flows/failure_detector.hpp"
 #include "sassafrasknot/flows/routing.hpp"
@@ -92,6 +93,8 @@
   double mAssumedUtilisation = 0;
   /// Limit of its flows while it is cold.
   ColdAdmission mColdAdmission;
+  /// Limit of this instance's active requests while it rejects some.
+  CapacityLimit mCapacityLimit;
 };
 
 /// Time constant of the average of active requests: the length of some ten
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -98,6 +98,11 @@
       { "speed_samples", std::to_string(record.mSpeed.mSamples) },
       { "speed_age_ms", AgeText(record.mSpeed.mUpdatedAt, aNow) },
       { "early_answers", std::to_string(record.mEarlyAnswerCount) },
+      { "own_limit",
+        record.mCapacityLimit.mOwnLimit
+          ? std::to_string(*record.mCapacityLimit.mOwnLimit)
+          : "none" },
+      { "rejections", std::to_string(record.mCapacityLimit.mRejections) },
       { "liveness", std::string(ToText(detector.mLiveness)) },
       { "repeated", std::to_string(detector.mRetransmittingFlows) },
       { "unseen", std::to_string(detector.mUnansweredOpens) },
--- a/src/sassafrasknot/flows/answer_learning.cpp
+++ b/src/sassafrasknot/flows/answer_learning.cpp
@@ -29,8 +29,40 @@
   ++aRecord.mEarlyAnswerCount;
 }
 
+/// Returns the usual work of a request, or nothing while it is not learned.
+std::optional<Work>
+UsualWork(const WorkModel& aModel,
+          const AnsweredRequest& aAnswer,
+          state::TimePoint aNow)
+{
+  const auto* route = FindRouteWork(aModel, aAnswer.mRoute, aNow);
+  if (route == nullptr) {
+    return std::nullopt;
+  }
+  return Work(std::exp(route->mMeanLog) *
+              CallerFactor(aModel, aAnswer.mRoute, aAnswer.mCaller, aNow));
+}
+
+bool
+IsEarly(Work aTaken, double aSpeed, Work aUsual)
+{
+  return aTaken * aSpeed * kShortAnswerFactor < aUsual;
+}
+
 } // namespace
 
+bool
+IsEarlyAnswer(const WorkModel& aModel,
+              const UpstreamRecord& aRecord,
+              const AnsweredRequest& aAnswer,
+              state::TimePoint aNow)
+{
+  const auto usual = UsualWork(aModel, aAnswer, aNow);
+  return usual && IsEarly(std::max(aAnswer.mTaken, kShortestTime),
+                          Speed(aRecord.mSpeed, aNow),
+                          *usual);
+}
+
 void
 LearnFromAnswer(WorkModel& aModel,
                 UpstreamRecord& aRecord,
@@ -38,21 +70,18 @@
                 state::TimePoint aNow)
 {
   const Work taken = std::max(aAnswer.mTaken, kShortestTime);
-  const auto* route = FindRouteWork(aModel, aAnswer.mRoute, aNow);
+  const auto usual = UsualWork(aModel, aAnswer, aNow);
   const double speed = Speed(aRecord.mSpeed, aNow);
   const auto& service = aRecord.mUpstream.mService;
-  if (route != nullptr) {
-    const Work usual(
-      std::exp(route->mMeanLog) *
-      CallerFactor(aModel, aAnswer.mRoute, aAnswer.mCaller, aNow));
-    if (taken * speed * kShortAnswerFactor < usual) {
+  if (usual) {
+    if (IsEarly(taken, speed, *usual)) {
       const auto unit = MeanWork(aModel, service, aNow);
       ++aModel.mEarlyAnswerCount;
-      RecordEarlyAnswer(aRecord, usual, unit.value_or(usual), aNow);
+      RecordEarlyAnswer(aRecord, *usual, unit.value_or(*usual), aNow);
       return;
     }
     if (aAnswer.mFoundFreeSlot) {
-      RecordSpeed(aRecord.mSpeed, usual, taken, aNow);
+      RecordSpeed(aRecord.mSpeed, *usual, taken, aNow);
     }
   }
   if (aAnswer.mFoundFreeSlot) {
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -75,7 +75,7 @@
     "placed",   "replaced",      "repeated",        "established",
     "unrouted", "not_ready",     "no_route",        "no_upstream",
     "no_token", "unknown_token", "upstream_silent", "evacuated",
-    "deferred", "link_full"
+    "deferred", "link_full",     "service_busy",    "service_full"
   };
   return names[static_cast<std::size_t>(aReason)];
 }
@@ -98,6 +98,7 @@
   const auto previous =
     std::exchange(aRouter.mDirectory, std::move(aDirectory));
   if (const auto& configuration = aRouter.mDirectory->mConfiguration) {
+    ApplyPriorities(aRouter.mCapacity, *configuration);
     std::erase_if(aRouter.mFlowLengths, [&](const auto& aItem) {
       return !configuration->mRoutes.contains(aItem.first);
     });
@@ -177,6 +178,7 @@
   UpdateReportAverages(aRouter, aNow - aRouter.mLastTick, aNow);
   DecayOpenOutcomes(aRouter.mOpens, aNow - aRouter.mLastTick);
   UpdateBulkAdmission(aRouter.mBulk, aNow - aRouter.mLastTick, aNow);
+  UpdateCapacity(aRouter.mCapacity, aRouter.mUpstreams, aNow);
   aRouter.mLastTick = aNow;
   const auto& configuration =
     aRouter.mDirectory ? aRouter.mDirectory->mConfiguration : nullptr;
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -158,8 +158,9 @@
 std::string_view
 ToString(ChoiceReason aReason)
 {
-  constexpr std::array<std::string_view, 5> names{
-    "only_one", "equal_cost", "less_load", "faster", "low_penalty"
+  constexpr std::array<std::string_view, 6> names{
+    "only_one", "equal_cost",  "less_load",
+    "faster",   "low_penalty", "no_capacity"
   };
   return names[static_cast<std::size_t>(aReason)];
 }
@@ -208,8 +209,14 @@
                state::TimePoint aNow,
                ChoiceReason* aReason)
 {
-  const auto candidates =
-    FindCandidates(aPool, aRequest, aPolicy, aRandom, aNow);
+  auto candidates = FindCandidates(aPool, aRequest, aPolicy, aRandom, aNow);
+  if (aRequest.mClass &&
+      RemoveWithoutCapacity(candidates, aPool, *aRequest.mClass, aNow)) {
+    if (aReason != nullptr) {
+      *aReason = ChoiceReason::NoCapacity;
+    }
+    return nullptr;
+  }
   // Only the cost of feeds depends on the load of the service.
   const auto service = aRequest.mLength == FlowLength::ManyRequests
                          ? LoadOfService(aPool, candidates, aNow)
--- a/src/sassafrasknot/flows/placement_candidates.cpp
+++ b/src/sassafrasknot/flows/placement_candidates.cpp
@@ -176,4 +176,23 @@
   return candidates;
 }
 
+bool
+RemoveWithoutCapacity(std::vector<UpstreamRecord*>& aCandidates,
+                      const ServicePool& aPool,
+                      PriorityClass aClass,
+                      state::TimePoint aNow)
+{
+  if (aCandidates.empty() ||
+      (aCandidates.size() == 1 &&
+       std::ranges::count_if(aPool.mAll, [](const UpstreamRecord* aRecord) {
+         return AcceptsFlows(*aRecord);
+       }) <= 1)) {
+    return false;
+  }
+  std::erase_if(aCandidates, [&](const UpstreamRecord* aRecord) {
+    return !HasCapacity(*aRecord, aClass, aNow);
+  });
+  return aCandidates.empty();
+}
+
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/placement_candidates.hpp
+++ b/src/sassafrasknot/flows/placement_candidates.hpp
@@ -22,6 +22,19 @@
                std::minstd_rand& aRandom,
                state::TimePoint aNow);
 
+/// @brief Removes the candidates whose limit is reached, unless the service has
+/// no other upstream.
+/// @param aCandidates upstreams to compare
+/// @param aPool the service's upstreams
+/// @param aClass class of the flow
+/// @param aNow current time on the steady clock
+/// @return whether all of them were removed
+bool
+RemoveWithoutCapacity(std::vector<UpstreamRecord*>& aCandidates,
+                      const ServicePool& aPool,
+                      PriorityClass aClass,
+                      state::TimePoint aNow);
+
 } // namespace sassafrasknot::flows
 
 #endif
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -57,6 +57,7 @@
               const CallerPacket& aPacket,
               const Route& aRoute,
               UpstreamToken aAvoid,
+              bool aIsLimited,
               ChoiceReason& aReason,
               state::TimePoint aNow)
 {
@@ -68,13 +69,23 @@
   const auto length = ExpectedFlowLength(FindOrAddEstimate(aRouter, aRoute));
   const auto& pool = found->second;
   const auto work = ExpectedRequestWork(aRouter, aPacket.mFlow, service, aNow);
-  auto* chosen =
-    ChooseUpstream(pool,
-                   { length, aRouter.mSettings.mDataCentre, aAvoid, work },
-                   aRouter.mSettings.mPolicy,
-                   aRouter.mRandom,
-                   aNow,
-                   &aReason);
+  std::optional<PriorityClass> priority;
+  if (aIsLimited) {
+    // The caller's attempt ends if its last opening packet is not admitted.
+    priority = aPacket.mRetransmissions >= kLastRetransmission
+                 ? PriorityClass::Urgent
+                 : ClassOf(aRouter.mCapacity, aRoute, service);
+  }
+  auto* chosen = ChooseUpstream(
+    pool,
+    { length, aRouter.mSettings.mDataCentre, aAvoid, work, priority },
+    aRouter.mSettings.mPolicy,
+    aRouter.mRandom,
+    aNow,
+    &aReason);
+  if (aReason == ChoiceReason::NoCapacity) {
+    return nullptr;
+  }
   if (chosen == nullptr) {
     for (const auto& dataCentre : pool.mEvacuated) {
       ++aRouter.mEvacuationRefusals[dataCentre];
@@ -139,6 +150,20 @@
     PacketAction::Reset, Reason::LinkFull, state::Verdict::NotRun);
 }
 
+/// Returns the decision on an opening packet for which no upstream has
+/// capacity.
+Decision
+RefuseByService(ServiceVerdict aVerdict)
+{
+  return aVerdict == ServiceVerdict::Defer
+           ? MakeRefusal(PacketAction::Discard,
+                         Reason::ServiceBusy,
+                         state::Verdict::NotRun)
+           : MakeRefusal(PacketAction::Reset,
+                         Reason::ServiceFull,
+                         state::Verdict::NotRun);
+}
+
 /// Chooses an upstream for a new or reassigned flow and replaces the flow's
 /// entry. The upstream aAvoid is chosen only if there is no other.
 Decision
@@ -148,6 +173,12 @@
           UpstreamToken aAvoid,
           state::TimePoint aNow)
 {
+  const auto found = aRouter.mFlows.find(aPacket.mFlow);
+  // A copy of an opening packet that was forwarded is not limited: its flow may
+  // exist at the upstream.
+  const bool isLimited = aAvoid == kNoToken && (found == aRouter.mFlows.end() ||
+                                                found->second.mEstablished);
+  const bool wasDeferred = aRouter.mBulk.mDeferred.contains(aPacket.mFlow);
   if (aAvoid == kNoToken) {
     if (auto refusal = RefuseWithoutCapacity(aRouter, aPacket, aRoute, aNow)) {
       return *refusal;
@@ -155,7 +186,17 @@
   }
   RemoveFlow(aRouter, aPacket.mFlow);
   auto choice = ChoiceReason::OnlyOne;
-  auto* record = ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, choice, aNow);
+  auto* record =
+    ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, isLimited, choice, aNow);
+  if (isLimited) {
+    const bool hasCapacity = choice != ChoiceReason::NoCapacity;
+    const auto verdict =
+      AdmitToService(aRouter.mBulk, aPacket, hasCapacity, wasDeferred, aNow);
+    if (verdict != ServiceVerdict::Admit) {
+      RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
+      return RefuseByService(verdict);
+    }
+  }
   if (record == nullptr) {
     RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
     return MakeRefusal(
--- a/src/sassafrasknot/flows/router_work.cpp
+++ b/src/sassafrasknot/flows/router_work.cpp
@@ -56,6 +56,44 @@
   }
 }
 
+namespace {
+
+/// Returns the time that a handshake takes, zero if it is not known.
+state::Duration
+HandshakeBaseline(const RecentHandshakes& aHandshakes)
+{
+  if (!aHandshakes.mShortest && !aHandshakes.mPreviousShortest) {
+    return {};
+  }
+  return std::min(
+    aHandshakes.mShortest.value_or(state::Duration::max()),
+    aHandshakes.mPreviousShortest.value_or(state::Duration::max()));
+}
+
+/// Adapts the upstream's limit to an answer. Waiting in the queue of this
+/// instance's own link, a slow start and an unknown handshake only make an
+/// answer look later, so that an early one is evidence in spite of them.
+void
+RecordCapacity(FlowRouter& aRouter,
+               UpstreamRecord& aRecord,
+               const AnsweredRequest& aAnswer,
+               bool aRetransmitted,
+               state::TimePoint aNow)
+{
+  // An answer of an idle upstream is no rejection, and needs no judgement
+  // without a limit, which it could only raise.
+  if (aAnswer.mFoundFreeSlot && !aRecord.mCapacityLimit.mOwnLimit) {
+    return;
+  }
+  if (aRetransmitted || !IsEarlyAnswer(aRouter.mWork, aRecord, aAnswer, aNow)) {
+    RecordCompletion(aRecord, aNow);
+  } else if (!aAnswer.mFoundFreeSlot) {
+    RecordRejection(aRouter.mCapacity, aRecord, aNow);
+  }
+}
+
+} // namespace
+
 void
 LearnFromResponse(FlowRouter& aRouter,
                   UpstreamRecord& aRecord,
@@ -65,22 +103,21 @@
                   state::TimePoint aNow)
 {
   const auto& handshakes = aRecord.mHandshakes;
-  if (aFindings.mAnsweredSent != aFindings.mAnsweredCopySent ||
+  const bool isRetransmitted =
+    aFindings.mAnsweredSent != aFindings.mAnsweredCopySent;
+  const AnsweredRequest answer{ aFlow.mService,
+                                aFlow.mCaller.mAddress,
+                                aNow - aFindings.mAnsweredSent -
+                                  HandshakeBaseline(handshakes),
+                                aFoundFreeSlot };
+  RecordCapacity(aRouter, aRecord, answer, isRetransmitted, aNow);
+  if (isRetransmitted ||
       aFindings.mAnsweredSent < aRouter.mIgnoreEvidenceBefore ||
       aNow < aRecord.mWarmUpEnd ||
       !(handshakes.mShortest || handshakes.mPreviousShortest)) {
     return;
   }
-  const auto baseline =
-    std::min(handshakes.mShortest.value_or(state::Duration::max()),
-             handshakes.mPreviousShortest.value_or(state::Duration::max()));
-  LearnFromAnswer(aRouter.mWork,
-                  aRecord,
-                  { aFlow.mService,
-                    aFlow.mCaller.mAddress,
-                    aNow - aFindings.mAnsweredSent - baseline,
-                    aFoundFreeSlot },
-                  aNow);
+  LearnFromAnswer(aRouter.mWork, aRecord, answer, aNow);
 }
 
 void
