--- a/src/sassafrasknot/flows/capacity_admission.cpp
+++ b/src/sassafrasknot/flows/capacity_admission.cpp
@@ -78,6 +78,8 @@
   if (!limit.mOwnLimit || IsExpired(limit, aNow)) {
     return;
   }
+  // Reached for some class: with flows of other than the most urgent priority
+  // alone, the number of active requests hardly exceeds their share.
   const double active = aRecord.mOwnLoad.mActiveRequests + 1.0;
   if (active >= LimitOf(*limit.mOwnLimit, PriorityClass::Other)) {
     *limit.mOwnLimit += 1 / *limit.mOwnLimit;
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -72,7 +72,8 @@
   std::optional<PriorityClass> priority;
   if (aIsLimited) {
     // The caller's attempt ends if its last opening packet is not admitted.
-    priority = aPacket.mRetransmissions >= kLastRetransmission
+    const bool isLast = aPacket.mRetransmissions >= kLastRetransmission;
+    priority = isLast && aRouter.mSettings.mFullLimitAtLastCopy
                  ? PriorityClass::Urgent
                  : ClassOf(aRouter.mCapacity, aRoute, service);
   }
