--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace sassafrasknot::edge {
@@ -65,6 +66,7 @@
   /// much earlier than usual and therefore were not used.
   std::atomic<std::uint64_t> mWorkSamples{ 0 };
   std::atomic<std::uint64_t> mEarlyAnswers{ 0 };
+  std::atomic<std::uint64_t> mRejections{ 0 };
   /// Current number of flows in the router's table.
   std::atomic<std::uint64_t> mOpenFlows{ 0 };
   /// Current number of uploads that are sending, and the delay that their
@@ -123,6 +125,23 @@
   double mValue = 0;
 };
 
+/// Numbers of upstreams with a limit of active requests, by service.
+using LimitedUpstreams = std::vector<std::pair<std::string, std::size_t>>;
+
+/// @brief Returns a text as the value of a label, where a backslash stands
+/// before quotes and backslashes, and a line feed is written as \\n.
+/// @param aText any text
+/// @return the value without the enclosing quotes
+std::string
+EscapeLabel(std::string_view aText);
+
+/// @brief Formats the gauge of limited upstreams in the Prometheus text format,
+/// with a label for the service.
+/// @param aLimited numbers by service
+/// @return the metric's lines
+std::string
+FormatLimitedUpstreams(const LimitedUpstreams& aLimited);
+
 /// @brief Formats metrics in the Prometheus text format (version 0.0.4).
 /// @param aMetrics counters and histograms since the start
 /// @param aGauges current values, appended in this order
--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -115,6 +115,7 @@
         { "log_lines_dropped",
           "Lines lost because the reader of the log did not keep up.",
           static_cast<double>(lines.mDropped) } }) +
+      FormatLimitedUpstreams(mTrafficReport.mLimitedUpstreams) +
       FormatEvacuationMetrics(EvacuationReports())
   };
 }
--- a/src/sassafrasknot/edge/evacuation_report.cpp
+++ b/src/sassafrasknot/edge/evacuation_report.cpp
@@ -1,29 +1,12 @@
 #include "evacuation_report.hpp"
 
+#include "sassafrasknot/edge/metrics.hpp"
+
 #include <string_view>
 
 namespace sassafrasknot::edge {
 namespace {
 
-/// Returns a text as the value of a label, where a backslash stands before
-/// quotes and backslashes, and a line feed is written as \\n.
-std::string
-EscapeLabel(std::string_view aText)
-{
-  std::string escaped;
-  for (const char character : aText) {
-    if (character == '\n') {
-      escaped += "\\n";
-      continue;
-    }
-    if (character == '"' || character == '\\') {
-      escaped += '\\';
-    }
-    escaped += character;
-  }
-  return escaped;
-}
-
 /// Writes one metric with a value for each data centre.
 template<typename Value>
 std::string
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -109,6 +109,9 @@
       { "early_answers_total",
         "Answers that were much earlier than usual.",
         aMetrics.mEarlyAnswers },
+      { "rejections_total",
+        "Early answers of busy upstreams, which limit new flows there.",
+        aMetrics.mRejections },
       { "store_calls_total",
         "Calls to the platform's store.",
         aMetrics.mStoreCalls },
@@ -167,6 +170,39 @@
   aCounter.fetch_add(1, std::memory_order_relaxed);
 }
 
+std::string
+EscapeLabel(std::string_view aText)
+{
+  std::string escaped;
+  for (const char character : aText) {
+    if (character == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (character == '"' || character == '\\') {
+      escaped += '\\';
+    }
+    escaped += character;
+  }
+  return escaped;
+}
+
+std::string
+FormatLimitedUpstreams(const LimitedUpstreams& aLimited)
+{
+  std::ostringstream out;
+  WriteHeader(out,
+              "limited_upstreams",
+              "Upstreams of the service at which this instance limits its "
+              "active requests.",
+              "gauge");
+  for (const auto& [service, count] : aLimited) {
+    out << kPrefix << "limited_upstreams{service=\"" << EscapeLabel(service)
+        << "\"} " << count << '\n';
+  }
+  return out.str();
+}
+
 std::string
 FormatMetrics(const Metrics& aMetrics, const std::vector<Gauge>& aGauges)
 {
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -58,6 +58,29 @@
   return std::to_string(age.count());
 }
 
+/// Adds the priority of a route and the number of limited upstreams of its
+/// services.
+void
+AddServiceFields(const flows::FlowRouter& aRouter,
+                 const state::Endpoint& aRoute,
+                 net::LogFields& aFields)
+{
+  const auto& routes = aRouter.mDirectory->mConfiguration->mRoutes;
+  const auto route = routes.find(aRoute);
+  if (route == routes.end()) {
+    return;
+  }
+  std::size_t limited = 0;
+  for (const auto& service : route->second.mServices) {
+    const auto found = aRouter.mCapacity.mServices.find(service.mService);
+    limited += found == aRouter.mCapacity.mServices.end()
+                 ? 0
+                 : found->second.mLimitedUpstreams;
+  }
+  aFields.emplace_back("priority", std::to_string(route->second.mPriority));
+  aFields.emplace_back("limited_upstreams", std::to_string(limited));
+}
+
 } // namespace
 
 std::string
@@ -174,6 +197,10 @@
     fields.emplace_back("queue_ms", std::to_string(delay.count()));
     fields.emplace_back("uploads", std::to_string(mRouter.mBulk.mSendingFlows));
   }
+  if (aDecision.mReason == flows::Reason::ServiceBusy ||
+      aDecision.mReason == flows::Reason::ServiceFull) {
+    AddServiceFields(mRouter, aPacket.mFlow.mService, fields);
+  }
   mLog->Write("flow_" + std::string(ToString(aDecision.mReason)), fields);
 }
 
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -240,6 +240,10 @@
   mMetrics->mColdRefusals = cold.mRefused;
   mMetrics->mWorkSamples = mRouter.mWork.mSampleCount;
   mMetrics->mEarlyAnswers = mRouter.mWork.mEarlyAnswerCount;
+  mMetrics->mRejections = mRouter.mCapacity.mRejections;
+  for (const auto& [service, capacity] : mRouter.mCapacity.mServices) {
+    report.mLimitedUpstreams.emplace_back(service, capacity.mLimitedUpstreams);
+  }
   mReportHandler(std::move(report));
 }
 
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -44,6 +44,8 @@
   std::size_t mOpenFlows = 0;
   /// Progress of evacuations; it can be a second old.
   std::map<state::DataCentreId, flows::EvacuationStatus> mEvacuations;
+  /// Upstreams with a limit of active requests, for each service with a route.
+  LimitedUpstreams mLimitedUpstreams;
   /// Time since the last datagram on the traffic endpoint.
   state::Duration mSinceLastPacket{ 0 };
   /// State of all upstreams for the dump; it can be a few seconds old.
