--- a/src/sassafrasknot/flows/overload_model_test.hpp
+++ b/src/sassafrasknot/flows/overload_model_test.hpp
@@ -103,6 +103,7 @@
 public:
   static constexpr std::size_t kInstances = 15;
   static constexpr std::size_t kUpstreams = 20;
+  static constexpr std::uint32_t kSlotsOfUpstream = 2;
   static constexpr microseconds kBurstBegin{ 6000000 };
   static constexpr microseconds kBurstEnd{ 10000000 };
   static constexpr microseconds kArrivalsEnd{ 14000000 };
