Recognise rejections by short answers and unanswered opens

Change: the usual size of a route's answers is learned from upstreams with a free slot; an answer of less than half of it from a busy upstream is a rejection. So is an opening packet to a busy upstream that is not answered in time. A short answer is no sample of work or speed either.

--- a/include/sassafrasknot/flows/flow_entry.hpp
+++ b/include/sassafrasknot/flows/flow_entry.hpp
@@ -75,6 +75,8 @@
   state::TimePoint mAnsweredCopySent;
   /// The answer is the first one to an active request.
   bool mAnswersRequest = false;
+  /// Bytes of the upstream that the packet acknowledges for the first time.
+  std::uint32_t mAnswerBytes = 0;
   /// The payload ends at or before the end of earlier payload. It is a
   /// retransmission, or a packet that another one has overtaken.
   bool mRetransmitted = false;
--- a/include/sassafrasknot/flows/work_model.hpp
+++ b/include/sassafrasknot/flows/work_model.hpp
@@ -1,6 +1,7 @@
 #ifndef SASSAFRASKNOT_FLOWS_WORK_MODEL_HPP
 #define SASSAFRASKNOT_FLOWS_WORK_MODEL_HPP
 
+#include "sassafrasknot/flows/answer_size.hpp"
 #include "sassafrasknot/state/endpoint.hpp"
 #include "sassafrasknot/state/time.hpp"
 
@@ -71,9 +72,10 @@
 {
   std::map<state::Endpoint, RouteWork> mRoutes;
   std::map<std::string, ServiceWork, std::less<>> mServices;
+  std::map<state::Endpoint, AnswerSize> mAnswerSizes;
   /// Hash table with one place for each hash value.
   std::vector<CallerWork> mCallers = std::vector<CallerWork>(kCallerEstimates);
-  /// Samples since the start, and answers that were too early to be samples.
+  /// Samples since the start, and answers that were too early or short for it.
   std::uint64_t mSampleCount = 0;
   std::uint64_t mEarlyAnswerCount = 0;
 };
--- a/src/sassafrasknot/flows/answer_learning.cpp
+++ b/src/sassafrasknot/flows/answer_learning.cpp
@@ -63,6 +63,16 @@
                           *usual);
 }
 
+bool
+IsShortAnswer(const WorkModel& aModel,
+              const AnsweredRequest& aAnswer,
+              state::TimePoint aNow)
+{
+  const auto found = aModel.mAnswerSizes.find(aAnswer.mRoute);
+  return found != aModel.mAnswerSizes.end() &&
+         IsShortAnswer(found->second, aAnswer.mBytes, aNow);
+}
+
 void
 LearnFromAnswer(WorkModel& aModel,
                 UpstreamRecord& aRecord,
@@ -73,8 +83,15 @@
   const auto usual = UsualWork(aModel, aAnswer, aNow);
   const double speed = Speed(aRecord.mSpeed, aNow);
   const auto& service = aRecord.mUpstream.mService;
+  const bool isShort = IsShortAnswer(aModel, aAnswer, aNow);
+  if (aAnswer.mFoundFreeSlot) {
+    RecordAnswerSize(aModel.mAnswerSizes[aAnswer.mRoute], aAnswer.mBytes, aNow);
+  }
+  if (isShort && !usual) {
+    return;
+  }
   if (usual) {
-    if (IsEarly(taken, speed, *usual)) {
+    if (isShort || IsEarly(taken, speed, *usual)) {
       const auto unit = MeanWork(aModel, service, aNow);
       ++aModel.mEarlyAnswerCount;
       RecordEarlyAnswer(aRecord, *usual, unit.value_or(*usual), aNow);
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -26,6 +26,7 @@
     aEntry.mRequestActive = false;
     aEntry.mMissingAnswers = 0;
   } else if (IsAfter(aPacket.mAcknowledged, aEntry.mAcknowledged)) {
+    findings.mAnswerBytes = aPacket.mAcknowledged - aEntry.mAcknowledged;
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
     findings.mAnsweredSent = aEntry.mNewDataSent;
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -108,6 +108,9 @@
     std::erase_if(aRouter.mWork.mRoutes, [&](const auto& aItem) {
       return !configuration->mRoutes.contains(aItem.first);
     });
+    std::erase_if(aRouter.mWork.mAnswerSizes, [&](const auto& aItem) {
+      return !configuration->mRoutes.contains(aItem.first);
+    });
   }
   UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
   BuildPools(
@@ -207,6 +210,10 @@
         aRouter,
         *record,
         RecordUnansweredOpen(record->mFailureDetector, entry.mOpenSent, aNow));
+      // A full upstream resets the caller's flow, which is not seen here.
+      if (!entry.mFoundFreeSlot) {
+        RecordRejection(aRouter.mCapacity, *record, aNow);
+      }
     }
     if (entry.mRequestActive &&
         (isOpenUnanswered || aNow - entry.mLastPacket > kActivityTimeout)) {
--- a/src/sassafrasknot/flows/router_work.cpp
+++ b/src/sassafrasknot/flows/router_work.cpp
@@ -7,6 +7,13 @@
 
 namespace sassafrasknot::flows {
 
+bool
+HasFreeSlot(const UpstreamRecord& aRecord)
+{
+  return aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests <
+         aRecord.mUpstream.mSlots;
+}
+
 double
 ExpectedRequestWork(const FlowRouter& aRouter,
                     const state::FlowKey& aFlow,
@@ -47,9 +54,7 @@
                   bool aBeginsRequest,
                   state::TimePoint aNow)
 {
-  aEntry.mFoundFreeSlot =
-    aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests <
-    aRecord.mUpstream.mSlots;
+  aEntry.mFoundFreeSlot = HasFreeSlot(aRecord);
   if (aBeginsRequest) {
     aEntry.mBacklog = static_cast<float>(
       ExpectedRequestWork(aRouter, aFlow, aRecord.mUpstream.mService, aNow));
@@ -85,7 +90,11 @@
   if (aAnswer.mFoundFreeSlot && !aRecord.mCapacityLimit.mOwnLimit) {
     return;
   }
-  if (aRetransmitted || !IsEarlyAnswer(aRouter.mWork, aRecord, aAnswer, aNow)) {
+  // A rejection may come late, from the end of the upstream's queue, but is
+  // short.
+  const bool isEarly =
+    !aRetransmitted && IsEarlyAnswer(aRouter.mWork, aRecord, aAnswer, aNow);
+  if (!isEarly && !IsShortAnswer(aRouter.mWork, aAnswer, aNow)) {
     RecordCompletion(aRecord, aNow);
   } else if (!aAnswer.mFoundFreeSlot) {
     RecordRejection(aRouter.mCapacity, aRecord, aNow);
@@ -109,7 +118,8 @@
                                 aFlow.mCaller.mAddress,
                                 aNow - aFindings.mAnsweredSent -
                                   HandshakeBaseline(handshakes),
-                                aFoundFreeSlot };
+                                aFoundFreeSlot,
+                                aFindings.mAnswerBytes };
   RecordCapacity(aRouter, aRecord, answer, isRetransmitted, aNow);
   if (isRetransmitted ||
       aFindings.mAnsweredSent < aRouter.mIgnoreEvidenceBefore ||
