--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -55,6 +55,7 @@
       return false;
     case Reason::Placed:
     case Reason::Deferred:
+    case Reason::ServiceBusy:
       return state::Hash(aPacket.mFlow) % kLogOneFlowIn == 0;
     default:
       return true;
@@ -261,6 +262,10 @@
   mMetrics->mColdRefusals = cold.mRefused;
   mMetrics->mWorkSamples = mRouter.mWork.mSampleCount;
   mMetrics->mEarlyAnswers = mRouter.mWork.mEarlyAnswerCount;
+  mMetrics->mRejections = mRouter.mCapacity.mRejections;
+  for (const auto& [service, capacity] : mRouter.mCapacity.mServices) {
+    report.mLimitedUpstreams.emplace_back(service, capacity.mLimitedUpstreams);
+  }
   mReportHandler(std::move(report));
 }
 
--- a/src/sassafrasknot/flows/flow_entry.cpp
+++ b/src/sassafrasknot/flows/flow_entry.cpp
@@ -27,6 +27,7 @@
     aEntry.mMissingAnswers = 0;
     aEntry.mUnansweredFor = {};
   } else if (IsAfter(aPacket.mAcknowledged, aEntry.mAcknowledged)) {
+    findings.mAnswerBytes = aPacket.mAcknowledged - aEntry.mAcknowledged;
     aEntry.mAcknowledged = aPacket.mAcknowledged;
     findings.mAnswered = true;
     findings.mAnsweredSent = aEntry.mNewDataSent;
--- a/src/sassafrasknot/flows/router_work.cpp
+++ b/src/sassafrasknot/flows/router_work.cpp
@@ -7,6 +7,13 @@
 
 namespace sassafrasknot::flows {
 
+bool
+HasFreeSlot(const UpstreamRecord& aRecord)
+{
+  return aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests <
+         aRecord.mUpstream.mSlots;
+}
+
 double
 ExpectedRequestWork(const FlowRouter& aRouter,
                     const state::FlowKey& aFlow,
@@ -47,15 +54,55 @@
                   bool aBeginsRequest,
                   state::TimePoint aNow)
 {
-  aEntry.mFoundFreeSlot =
-    aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests <
-    aRecord.mUpstream.mSlots;
+  aEntry.mFoundFreeSlot = HasFreeSlot(aRecord);
   if (aBeginsRequest) {
     aEntry.mBacklog = static_cast<float>(
       ExpectedRequestWork(aRouter, aFlow, aRecord.mUpstream.mService, aNow));
   }
 }
 
+namespace {
+
+/// Returns the time that a handshake takes, zero if it is not known.
+state::Duration
+HandshakeBaseline(const RecentHandshakes& aHandshakes)
+{
+  if (!aHandshakes.mShortest && !aHandshakes.mPreviousShortest) {
+    return {};
+  }
+  return std::min(
+    aHandshakes.mShortest.value_or(state::Duration::max()),
+    aHandshakes.mPreviousShortest.value_or(state::Duration::max()));
+}
+
+/// Adapts the upstream's limit to an answer. Waiting in the queue of this
+/// instance's own link, a slow start and an unknown handshake only make an
+/// answer look later, so that an early one is evidence in spite of them.
+void
+RecordCapacity(FlowRouter& aRouter,
+               UpstreamRecord& aRecord,
+               const AnsweredRequest& aAnswer,
+               bool aRetransmitted,
+               state::TimePoint aNow)
+{
+  // An answer of an idle upstream is no rejection, and needs no judgement
+  // without a limit, which it could only raise.
+  if (aAnswer.mFoundFreeSlot && !aRecord.mCapacityLimit.mOwnLimit) {
+    return;
+  }
+  // A rejection may come late, from the end of the upstream's queue, but is
+  // short.
+  const bool isEarly =
+    !aRetransmitted && IsEarlyAnswer(aRouter.mWork, aRecord, aAnswer, aNow);
+  if (!isEarly && !IsShortAnswer(aRouter.mWork, aAnswer, aNow)) {
+    RecordCompletion(aRecord, aNow);
+  } else if (!aAnswer.mFoundFreeSlot) {
+    RecordRejection(aRouter.mCapacity, aRecord, aNow);
+  }
+}
+
+} // namespace
+
 void
 LearnFromResponse(FlowRouter& aRouter,
                   UpstreamRecord& aRecord,
@@ -65,22 +112,22 @@
                   state::TimePoint aNow)
 {
   const auto& handshakes = aRecord.mHandshakes;
-  if (aFindings.mAnsweredSent != aFindings.mAnsweredCopySent ||
+  const bool isRetransmitted =
+    aFindings.mAnsweredSent != aFindings.mAnsweredCopySent;
+  const AnsweredRequest answer{ aFlow.mService,
+                                aFlow.mCaller.mAddress,
+                                aNow - aFindings.mAnsweredSent -
+                                  HandshakeBaseline(handshakes),
+                                aFoundFreeSlot,
+                                aFindings.mAnswerBytes };
+  RecordCapacity(aRouter, aRecord, answer, isRetransmitted, aNow);
+  if (isRetransmitted ||
       aFindings.mAnsweredSent < aRouter.mIgnoreEvidenceBefore ||
       aNow < aRecord.mWarmUpEnd ||
       !(handshakes.mShortest || handshakes.mPreviousShortest)) {
     return;
   }
-  const auto baseline =
-    std::min(handshakes.mShortest.value_or(state::Duration::max()),
-             handshakes.mPreviousShortest.value_or(state::Duration::max()));
-  LearnFromAnswer(aRouter.mWork,
-                  aRecord,
-                  { aFlow.mService,
-                    aFlow.mCaller.mAddress,
-                    aNow - aFindings.mAnsweredSent - baseline,
-                    aFoundFreeSlot },
-                  aNow);
+  LearnFromAnswer(aRouter.mWork, aRecord, answer, aNow);
 }
 
 void
