--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/edge/traffic_loop.hpp"
 
 #include "sassafrasknot/edge/traffic_log.hpp"
+#include "sassafrasknot/edge/traffic_report.hpp"
 #include "sassafrasknot/state/hashing.hpp"
 
 #include <utility>
@@ -200,20 +201,7 @@
 void
 TrafficLoop::Report(state::TimePoint aNow)
 {
-  TrafficReport report;
-  for (const auto& [token, record] : mRouter.mUpstreams.mByToken) {
-    if (record.mOwnLoad != flows::UpstreamLoad{}) {
-      report.mOwnLoads.push_back({ token, record.mOwnLoad });
-    }
-    if (record.mFailureDetector.mLiveness == flows::Liveness::Unresponsive &&
-        !record.mFailureDetector.mDataCentreUnreachable) {
-      report.mUnresponsive.push_back(token);
-    }
-    if (record.mFailureDetector.mLiveness != flows::Liveness::Responsive &&
-        record.mPresence != flows::Presence::Removed && !record.mEvacuated) {
-      report.mProbeCandidates.push_back(token);
-    }
-  }
+  auto report = ReportUpstreams(mRouter.mUpstreams);
   if (aNow >= mNextDump) {
     mNextDump = aNow + kDumpInterval;
     mUpstreamDump = FormatUpstreams(mRouter, aNow);
