Assign the loads of peers only to upstreams that have some

SetPeerLoads passed over all upstreams, up to 40 times per second, to reset the loads of those that nobody reports. It now resets those that the previous call assigned and are no longer reported. The mean utilisation of a data centre is kept once per data centre instead of in each record, and records that are new or have moved refer to it from the next call on, as before.

--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -87,9 +87,9 @@
   std::uint64_t mEarlyAnswerCount = 0;
   /// Active requests of all instances, averaged over kLoadAverageTimeConstant.
   double mAverageActiveRequests = 0;
-  /// Mean utilisation (active requests per slot) of its data centre, if that
-  /// reports no loads by upstream; otherwise 0.
-  double mAssumedUtilisation = 0;
+  /// Mean utilisation (active requests per slot) of its data centre, or null if
+  /// none has been assigned; see AssumedUtilisation.
+  const double* mDataCentreUtilisation = nullptr;
   /// Limit of its flows while it is cold.
   ColdAdmission mColdAdmission;
 };
@@ -129,6 +129,14 @@
 {
   std::unordered_map<UpstreamToken, UpstreamRecord> mByToken;
   std::map<std::string, ServicePool, std::less<>> mByService;
+  /// Mean utilisations of data centres that report no loads by upstream, 0 for
+  /// others. Entries are not removed, since records point to them.
+  std::map<state::DataCentreId, double> mMeanUtilisations;
+  /// Upstreams to which the last SetPeerLoads assigned loads, in order.
+  std::vector<UpstreamToken> mPeerLoaded;
+  /// Upstreams that are new, have restarted or have moved to another data
+  /// centre since the last SetPeerLoads.
+  std::vector<UpstreamToken> mWithoutUtilisation;
 };
 
 /// @brief Applies a new directory. Upstreams that are no longer in it are kept
@@ -151,7 +159,8 @@
            const state::DataCentreId& aDataCentre,
            const InstancePosition& aPosition);
 
-/// @brief Replaces the loads that other instances have reported.
+/// @brief Replaces the loads that other instances have reported. The time that
+/// this takes depends on the number of loads, not of upstreams.
 /// @param aTable the table
 /// @param aLoads sums of other instances' loads by upstream; an upstream that
 /// is missing has none
@@ -162,6 +171,13 @@
              const std::map<UpstreamToken, UpstreamLoad>& aLoads,
              const std::map<state::DataCentreId, double>& aMeanUtilisations);
 
+/// @brief Returns the mean utilisation of an upstream's data centre.
+/// @param aRecord the upstream
+/// @return active requests per slot; 0 if its data centre reports loads by
+/// upstream or nothing
+double
+AssumedUtilisation(const UpstreamRecord& aRecord);
+
 /// @brief Returns the active requests per slot of the local upstreams among
 /// which this instance chooses.
 /// @param aTable the table
--- a/src/sassafrasknot/flows/evacuation.cpp
+++ b/src/sassafrasknot/flows/evacuation.cpp
@@ -15,7 +15,7 @@
   const double activeRequests =
     aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests;
   const double utilisation = std::max(activeRequests / aRecord.mUpstream.mSlots,
-                                      aRecord.mAssumedUtilisation);
+                                      AssumedUtilisation(aRecord));
   return std::max(1 - utilisation, kMinSpareCapacity);
 }
 
--- a/src/sassafrasknot/flows/placement.cpp
+++ b/src/sassafrasknot/flows/placement.cpp
@@ -71,7 +71,7 @@
     share * aService.mActiveRequests / aService.mSlots;
   const double utilisation = std::max(
     (aRecord.mAverageActiveRequests / slots + predictedUtilisation) / 2,
-    aRecord.mAssumedUtilisation);
+    AssumedUtilisation(aRecord));
   return ExpectedWait(utilisation, aRecord.mUpstream.mSlots) /
            Speed(aRecord.mSpeed, aNow) +
          aPolicy.mFairShareWeight * share;
@@ -87,7 +87,7 @@
 {
   const double perSlot =
     std::max(ExpectedBacklog(aRecord, aNow) / aRecord.mUpstream.mSlots,
-             aRecord.mAssumedUtilisation);
+             AssumedUtilisation(aRecord));
   const double speed = Speed(aRecord.mSpeed, aNow);
   return perSlot / speed + aRequest.mWork * (1 / speed - 1);
 }
--- a/src/sassafrasknot/flows/placement_test.cpp
+++ b/src/sassafrasknot/flows/placement_test.cpp
@@ -212,9 +212,10 @@
   fixture.AddUpstream("i-1", "a");
   fixture.AddUpstream("i-2", "b");
   fixture.mRecords[0].mOwnLoad.mActiveRequests = 3;
-  fixture.mRecords[1].mAssumedUtilisation = 1.5;
+  double utilisation = 1.5;
+  fixture.mRecords[1].mDataCentreUtilisation = &utilisation;
   EXPECT_EQ(fixture.Choose()->mUpstream.mId, "i-1");
-  fixture.mRecords[1].mAssumedUtilisation = 0.5;
+  utilisation = 0.5;
   EXPECT_EQ(fixture.Choose()->mUpstream.mId, "i-2");
 }
 
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -29,7 +29,8 @@
 /// Updates an upstream's record from the directory. The record of an upstream
 /// that is new or has restarted is reset, except for this instance's load.
 void
-UpdateRecord(UpstreamRecord& aRecord,
+UpdateRecord(UpstreamTable& aTable,
+             UpstreamRecord& aRecord,
              UpstreamToken aToken,
              const ListedUpstream& aListed,
              state::TimePoint aNow)
@@ -43,6 +44,9 @@
     aRecord = UpstreamRecord{ .mOwnLoad = aRecord.mOwnLoad,
                               .mExcessBacklog = aRecord.mExcessBacklog };
   }
+  if (isNew || aRecord.mUpstream.mDataCentre != upstream.mDataCentre) {
+    aTable.mWithoutUtilisation.push_back(aToken);
+  }
   if (isNew || aRecord.mUpstream.mWarmUpLeft != upstream.mWarmUpLeft) {
     aRecord.mWarmUpEnd = aNow + upstream.mWarmUpLeft;
   }
@@ -64,7 +68,7 @@
     auto& record = aTable.mByToken[token];
     listed.insert(token);
     if (!LosesToken(record, entry.mUpstream)) {
-      UpdateRecord(record, token, entry, aNow);
+      UpdateRecord(aTable, record, token, entry, aNow);
     }
   }
   for (auto it = aTable.mByToken.begin(); it != aTable.mByToken.end();) {
@@ -127,14 +131,39 @@
              const std::map<UpstreamToken, UpstreamLoad>& aLoads,
              const std::map<state::DataCentreId, double>& aMeanUtilisations)
 {
-  for (auto& [token, record] : aTable.mByToken) {
-    const auto load = aLoads.find(token);
-    record.mPeerLoad = load == aLoads.end() ? UpstreamLoad{} : load->second;
-    const auto utilisation =
-      aMeanUtilisations.find(record.mUpstream.mDataCentre);
-    record.mAssumedUtilisation =
-      utilisation == aMeanUtilisations.end() ? 0 : utilisation->second;
+  for (const auto token : aTable.mPeerLoaded) {
+    auto* record = FindUpstream(aTable, token);
+    if (record != nullptr && !aLoads.contains(token)) {
+      record->mPeerLoad = {};
+    }
+  }
+  aTable.mPeerLoaded.clear();
+  for (const auto& [token, load] : aLoads) {
+    if (auto* record = FindUpstream(aTable, token)) {
+      record->mPeerLoad = load;
+      aTable.mPeerLoaded.push_back(token);
+    }
+  }
+  for (auto& [dataCentre, utilisation] : aTable.mMeanUtilisations) {
+    utilisation = 0;
+  }
+  for (const auto& [dataCentre, utilisation] : aMeanUtilisations) {
+    aTable.mMeanUtilisations[dataCentre] = utilisation;
   }
+  for (const auto token : std::exchange(aTable.mWithoutUtilisation, {})) {
+    if (auto* record = FindUpstream(aTable, token)) {
+      record->mDataCentreUtilisation =
+        &aTable.mMeanUtilisations[record->mUpstream.mDataCentre];
+    }
+  }
+}
+
+double
+AssumedUtilisation(const UpstreamRecord& aRecord)
+{
+  return aRecord.mDataCentreUtilisation == nullptr
+           ? 0
+           : *aRecord.mDataCentreUtilisation;
 }
 
 double
