Report only upstreams with load or evidence

Each report to the control thread passed over all upstreams to find those with load or a changed liveness, and so did each retransmission at a remote data centre and each tick while opens were unanswered. The table now remembers the upstreams that may have load or evidence: those of open flows (marked on ticks, which pass over the flows in any case), of retransmissions and of changes of liveness. Reports list and prune these. A data centre is checked for reachability only if at least as many of them have retransmissions as it needs.

A test compares the list with a full pass after each of 8,000 ticks with random events.

--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -65,6 +66,8 @@
   /// When it left the directory; only for Presence::Removed.
   state::TimePoint mRemovedAt;
   FailureDetector mFailureDetector;
+  /// Whether the table's mObserved contains it.
+  bool mIsObserved = false;
   /// Load by this instance's flows.
   UpstreamLoad mOwnLoad;
   /// Load by other instances' flows, as they last reported it.
@@ -129,6 +132,9 @@
 {
   std::unordered_map<UpstreamToken, UpstreamRecord> mByToken;
   std::map<std::string, ServicePool, std::less<>> mByService;
+  /// Upstreams that may have load of this instance's flows or evidence of a
+  /// failure; see ObservedUpstreams.
+  std::set<UpstreamToken> mObserved;
   /// Mean utilisations of data centres that report no loads by upstream, 0 for
   /// others. Entries are not removed, since records point to them.
   std::map<state::DataCentreId, double> mMeanUtilisations;
@@ -201,6 +207,22 @@
 void
 UpdateLoadAverages(UpstreamTable& aTable, state::Duration aElapsed);
 
+/// @brief Records that an upstream has load of this instance's flows or
+/// evidence of a failure. It is done for each flow's upstream on ticks, and for
+/// each retransmission and change of liveness.
+/// @param aTable the table
+/// @param aRecord an upstream of the table
+void
+MarkObserved(UpstreamTable& aTable, UpstreamRecord& aRecord);
+
+/// @brief Returns the upstreams that have load of this instance's flows or
+/// evidence of a failure, and forgets those marked ones that have neither any
+/// more. The time that this takes does not depend on the number of upstreams.
+/// @param aTable the table
+/// @return the upstreams in order of their tokens
+std::vector<UpstreamRecord*>
+ObservedUpstreams(UpstreamTable& aTable);
+
 /// @brief Returns the upstream that a token names.
 /// @param aTable the table
 /// @param aToken token of a packet
--- a/src/sassafrasknot/edge/traffic_report.cpp
+++ b/src/sassafrasknot/edge/traffic_report.cpp
@@ -3,19 +3,20 @@
 namespace sassafrasknot::edge {
 
 TrafficReport
-ReportUpstreams(const flows::UpstreamTable& aTable)
+ReportUpstreams(flows::UpstreamTable& aTable)
 {
   TrafficReport report;
-  for (const auto& [token, record] : aTable.mByToken) {
-    if (record.mOwnLoad != flows::UpstreamLoad{}) {
-      report.mOwnLoads.push_back({ token, record.mOwnLoad });
+  for (const auto* record : flows::ObservedUpstreams(aTable)) {
+    const auto token = record->mToken;
+    if (record->mOwnLoad != flows::UpstreamLoad{}) {
+      report.mOwnLoads.push_back({ token, record->mOwnLoad });
     }
-    if (record.mFailureDetector.mLiveness == flows::Liveness::Unresponsive &&
-        !record.mFailureDetector.mDataCentreUnreachable) {
+    if (record->mFailureDetector.mLiveness == flows::Liveness::Unresponsive &&
+        !record->mFailureDetector.mDataCentreUnreachable) {
       report.mUnresponsive.push_back(token);
     }
-    if (record.mFailureDetector.mLiveness != flows::Liveness::Responsive &&
-        record.mPresence != flows::Presence::Removed && !record.mEvacuated) {
+    if (record->mFailureDetector.mLiveness != flows::Liveness::Responsive &&
+        record->mPresence != flows::Presence::Removed && !record->mEvacuated) {
       report.mProbeCandidates.push_back(token);
     }
   }
--- a/src/sassafrasknot/edge/traffic_report.hpp
+++ b/src/sassafrasknot/edge/traffic_report.hpp
@@ -39,9 +39,10 @@
 };
 
 /// Returns a report with the loads and liveness of upstreams; its other members
-/// are empty.
+/// are empty. To be called after flows::OnTick, which marks upstreams with
+/// load.
 TrafficReport
-ReportUpstreams(const flows::UpstreamTable& aTable);
+ReportUpstreams(flows::UpstreamTable& aTable);
 
 } // namespace sassafrasknot::edge
 
--- a/src/sassafrasknot/flows/data_centre_reachability.cpp
+++ b/src/sassafrasknot/flows/data_centre_reachability.cpp
@@ -3,12 +3,31 @@
 #include <algorithm>
 
 namespace sassafrasknot::flows {
+namespace {
+
+/// Returns whether enough upstreams have retransmissions for any data centre to
+/// count as unreachable. Unlike the full check, this does not pass over all
+/// upstreams for each retransmission while a single one has failed.
+bool
+HasEnoughRetransmissions(const UpstreamTable& aTable)
+{
+  return std::ranges::count_if(aTable.mObserved, [&](UpstreamToken aToken) {
+           const auto found = aTable.mByToken.find(aToken);
+           return found != aTable.mByToken.end() &&
+                  found->second.mFailureDetector.mRetransmittingFlows > 0;
+         }) >= kUnreachableMinUpstreams;
+}
+
+} // namespace
 
 bool
 IsDataCentreUnreachable(const UpstreamTable& aTable,
                         const state::DataCentreId& aDataCentre,
                         state::TimePoint aLinkVerifiedAt)
 {
+  if (!HasEnoughRetransmissions(aTable)) {
+    return false;
+  }
   std::uint32_t upstreams = 0;
   std::uint32_t unanswered = 0;
   auto firstUnanswered = state::TimePoint::max() - kLinkVerificationMargin;
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -194,6 +194,7 @@
       it = aRouter.mFlows.erase(it);
       continue;
     }
+    MarkObserved(aRouter.mUpstreams, *record);
     const bool isOpenUnanswered =
       !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
     if (isOpenUnanswered && entry.mMissingAnswers == 0 &&
--- a/src/sassafrasknot/flows/router_liveness.cpp
+++ b/src/sassafrasknot/flows/router_liveness.cpp
@@ -89,12 +89,13 @@
 
 void
 RecordLivenessChange(FlowRouter& aRouter,
-                     const UpstreamRecord& aRecord,
+                     UpstreamRecord& aRecord,
                      bool aChanged)
 {
   if (!aChanged) {
     return;
   }
+  MarkObserved(aRouter.mUpstreams, aRecord);
   aRouter.mLivenessChanges.push_back(
     { aRecord.mToken, aRecord.mFailureDetector.mLiveness });
   if (aRecord.mFailureDetector.mLiveness >= Liveness::Reported) {
@@ -112,6 +113,7 @@
   if (aSent < aRouter.mIgnoreEvidenceBefore) {
     return;
   }
+  MarkObserved(aRouter.mUpstreams, aRecord);
   RecordLivenessChange(
     aRouter,
     aRecord,
@@ -138,14 +140,18 @@
   if (aRouter.mOpens.mUnanswered < kSuspectedAfterUnansweredOpens) {
     return;
   }
-  for (auto& [token, record] : aRouter.mUpstreams.mByToken) {
-    const double own = record.mFailureDetector.mUnansweredOpens;
+  for (const auto token : aRouter.mUpstreams.mObserved) {
+    auto* record = FindUpstream(aRouter.mUpstreams, token);
+    if (record == nullptr) {
+      continue;
+    }
+    const double own = record->mFailureDetector.mUnansweredOpens;
     const double unanswered = aRouter.mOpens.mUnanswered - own;
     const double all = unanswered + aRouter.mOpens.mAnswered;
     if (own > 0 && unanswered >= kSuspectedAfterUnansweredOpens &&
         unanswered > kMaxUnansweredShare * all) {
       RecordLivenessChange(
-        aRouter, record, ClearUnansweredOpens(record.mFailureDetector));
+        aRouter, *record, ClearUnansweredOpens(record->mFailureDetector));
     }
   }
 }
--- a/src/sassafrasknot/flows/router_liveness.hpp
+++ b/src/sassafrasknot/flows/router_liveness.hpp
@@ -19,7 +19,7 @@
 /// that its requests are to be abandoned if it is unresponsive now.
 void
 RecordLivenessChange(FlowRouter& aRouter,
-                     const UpstreamRecord& aRecord,
+                     UpstreamRecord& aRecord,
                      bool aChanged);
 
 /// Records that a caller has retransmitted a packet that was first forwarded at
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -55,6 +55,15 @@
   aRecord.mPresence = aListed.mPresence;
 }
 
+bool
+HasLoadOrEvidence(const UpstreamRecord& aRecord)
+{
+  const auto& detector = aRecord.mFailureDetector;
+  return aRecord.mOwnLoad != UpstreamLoad{} ||
+         detector.mLiveness != Liveness::Responsive ||
+         detector.mRetransmittingFlows > 0 || detector.mUnansweredOpens > 0;
+}
+
 } // namespace
 
 void
@@ -213,6 +222,33 @@
   }
 }
 
+void
+MarkObserved(UpstreamTable& aTable, UpstreamRecord& aRecord)
+{
+  if (!aRecord.mIsObserved) {
+    aRecord.mIsObserved = true;
+    aTable.mObserved.insert(aRecord.mToken);
+  }
+}
+
+std::vector<UpstreamRecord*>
+ObservedUpstreams(UpstreamTable& aTable)
+{
+  std::vector<UpstreamRecord*> observed;
+  std::erase_if(aTable.mObserved, [&](UpstreamToken aToken) {
+    auto* record = FindUpstream(aTable, aToken);
+    if (record != nullptr && HasLoadOrEvidence(*record)) {
+      observed.push_back(record);
+      return false;
+    }
+    if (record != nullptr) {
+      record->mIsObserved = false;
+    }
+    return true;
+  });
+  return observed;
+}
+
 UpstreamRecord*
 FindUpstream(UpstreamTable& aTable, UpstreamToken aToken)
 {
--- a/src/sassafrasknot/flows/upstream_table_test.cpp
+++ b/src/sassafrasknot/flows/upstream_table_test.cpp
@@ -1,8 +1,10 @@
 #include "sassafrasknot/flows/flow_fixture_test.hpp"
 #include "sassafrasknot/flows/upstream_table.hpp"
 
+#include <algorithm>
 #include <random>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -106,5 +108,102 @@
   }
 }
 
+/// Returns the upstreams of the whole table with load or evidence, in order of
+/// their tokens.
+std::vector<const UpstreamRecord*>
+ObservedOfAll(const UpstreamTable& aTable)
+{
+  std::vector<const UpstreamRecord*> observed;
+  for (const auto& [token, record] : aTable.mByToken) {
+    const auto& detector = record.mFailureDetector;
+    if (record.mOwnLoad != UpstreamLoad{} ||
+        detector.mLiveness != Liveness::Responsive ||
+        detector.mRetransmittingFlows > 0 || detector.mUnansweredOpens > 0) {
+      observed.push_back(&record);
+    }
+  }
+  std::ranges::sort(observed, {}, &UpstreamRecord::mToken);
+  return observed;
+}
+
+/// Passes a random event of callers, other instances or the store to a router.
+/// Callers that do not go on after their opening packet are those of failed
+/// upstreams.
+void
+ApplyRandomEvent(RouterFixture& aFixture,
+                 std::minstd_rand& aRandom,
+                 milliseconds aTime)
+{
+  auto& router = aFixture.mRouter;
+  const auto caller = static_cast<std::uint16_t>(1000 + aRandom() % 80);
+  const auto port = aRandom() % 2 == 0 ? kFeedPort : kRequestPort;
+  const auto token =
+    TokenOf("i-" + std::to_string(aRandom() % (kUpstreams + 5)));
+  switch (aRandom() % 40) {
+    case 0:
+      OnReportedUnresponsive(router, { token }, At(aTime));
+      break;
+    case 1:
+      OnProbeSuccess(router, token, At(aTime - milliseconds(1)));
+      break;
+    case 2:
+      if (aRandom() % 4 == 0) {
+        aFixture.mDirectory.mUpstreams = DrawDirectory(aRandom).mUpstreams;
+        aFixture.Publish(aTime);
+      }
+      break;
+    default:
+      const auto decision =
+        aFixture.Open(caller, port, aTime, aRandom() % 3 == 0 ? 1 : 0);
+      if (decision.mUpstream != nullptr && aRandom() % 2 == 0) {
+        const auto chosen = decision.mUpstream->mToken;
+        aFixture.Send(caller, port, chosen, 1, 1, 100, aTime);
+        if (aRandom() % 2 == 0) {
+          aFixture.Send(
+            caller, port, chosen, 1, 1, 100, aTime + milliseconds(1));
+        } else {
+          aFixture.Send(
+            caller, port, chosen, 101, 500, 0, aTime + milliseconds(1));
+        }
+      }
+  }
+}
+
+// Guards against load or evidence that reports to the control thread miss,
+// because its upstream was not marked or was forgotten too early.
+TEST(UpstreamTable, ObservedUpstreamsEqualThoseOfAFullPass)
+{
+  std::minstd_rand random(5);
+  RouterFixture fixture;
+  fixture.mDirectory.mUpstreams = DrawDirectory(random).mUpstreams;
+  fixture.Publish(milliseconds(0));
+  std::size_t seen = 0;
+  std::size_t unresponsive = 0;
+  for (int tick = 1; tick < 8000; ++tick) {
+    const auto time = tick * milliseconds(25);
+    // Without packets for a second now and then, so that load and evidence
+    // cease.
+    if (tick % 400 > 100) {
+      ApplyRandomEvent(fixture, random, time);
+    }
+    OnTick(fixture.mRouter, At(time + milliseconds(5)));
+    AbandonUnansweredRequests(fixture.mRouter);
+    fixture.mRouter.mLivenessChanges.clear();
+    const auto expected = ObservedOfAll(fixture.mRouter.mUpstreams);
+    const auto observed = ObservedUpstreams(fixture.mRouter.mUpstreams);
+    ASSERT_EQ(
+      std::vector<const UpstreamRecord*>(observed.begin(), observed.end()),
+      expected)
+      << "tick " << tick;
+    seen += observed.size();
+    unresponsive += static_cast<std::size_t>(
+      std::ranges::count_if(observed, [](const auto* aRecord) {
+        return aRecord->mFailureDetector.mLiveness != Liveness::Responsive;
+      }));
+  }
+  EXPECT_GT(seen, 8000U);
+  EXPECT_GT(unresponsive, 100U);
+}
+
 } // namespace
 } // namespace sassafrasknot::flows
