Format the upstreams of the dump on request

A request for the dump now asks the traffic thread for the text and responds when it is there, so that the lines are those of the moment of the request. The HTTP server accepts handlers that respond later. The control thread does not block meanwhile.

An instance no longer keeps the text (not measured in memory).

--- a/include/sassafrasknot/net/http_server.hpp
+++ b/include/sassafrasknot/net/http_server.hpp
@@ -27,6 +27,14 @@
 /// thread that runs the server's context.
 using HttpRequestHandler = std::function<HttpServerResponse(std::string_view)>;
 
+/// @brief Sends the response to one request; must be called at most once, on
+/// the thread that runs the server's context.
+using HttpResponder = std::function<void(HttpServerResponse)>;
+
+/// @brief Handles a request to a path with its query and responds at once or
+/// later. If the responder is destroyed without a call, the connection ends.
+using HttpAsyncHandler = std::function<void(std::string_view, HttpResponder)>;
+
 /// @brief HTTP server for short GET requests, which are all handled on one
 /// thread. The server keeps itself alive until Close.
 class HttpServer : public std::enable_shared_from_this<HttpServer>
@@ -42,10 +50,20 @@
     const state::Endpoint& aEndpoint,
     HttpRequestHandler aHandler);
 
+  /// @brief The same for requests whose responses may come later.
+  /// @param aContext runs the server; must be run by one thread
+  /// @param aEndpoint endpoint to listen on
+  /// @param aHandler handles GET requests; other methods receive status 405
+  /// @return the server, or Unavailable with the endpoint and the cause
+  static state::Result<std::shared_ptr<HttpServer>> OpenAsync(
+    boost::asio::io_context& aContext,
+    const state::Endpoint& aEndpoint,
+    HttpAsyncHandler aHandler);
+
   /// @brief Creates a server that does not listen yet; see Open.
   /// @param aContext runs the server
   /// @param aHandler handles GET requests
-  HttpServer(boost::asio::io_context& aContext, HttpRequestHandler aHandler);
+  HttpServer(boost::asio::io_context& aContext, HttpAsyncHandler aHandler);
 
   /// @brief Stops accepting connections; open ones remain. Must be called on
   /// the thread that runs the context.
@@ -57,7 +75,7 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   /// Delays the next accept after a failure.
   boost::asio::steady_timer mRetryTimer;
-  HttpRequestHandler mHandler;
+  HttpAsyncHandler mHandler;
 };
 
 } // namespace sassafrasknot::net
--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -3,6 +3,9 @@
 
 #include <charconv>
 #include <system_error>
+#include <utility>
+
+#include <boost/asio/post.hpp>
 
 namespace sassafrasknot::edge {
 namespace {
@@ -62,18 +65,33 @@
   return encoded;
 }
 
-net::HttpServerResponse
-ControlLoop::ServeAdmin(std::string_view aTarget)
+void
+ControlLoop::ServeAdmin(std::string_view aTarget, net::HttpResponder aRespond)
 {
   constexpr unsigned kNotFound = 404;
-  if (aTarget == "/dump") {
-    return { 200, "text/plain", FormatDump() };
-  }
-  if (aTarget != "/metrics") {
-    return { kNotFound,
-             "text/plain",
-             "unknown path: expected /metrics or /dump\n" };
+  if (aTarget == "/metrics") {
+    aRespond(ServeMetrics());
+  } else if (aTarget == "/dump") {
+    mTraffic.RequestUpstreamDump(
+      [this, respond = std::move(aRespond)](std::string aUpstreams) mutable {
+        boost::asio::post(
+          mContext,
+          [this,
+           respond = std::move(respond),
+           upstreams = std::move(aUpstreams)] {
+            respond({ 200, "text/plain", FormatDump() + upstreams });
+          });
+      });
+  } else {
+    aRespond({ kNotFound,
+               "text/plain",
+               "unknown path: expected /metrics or /dump\n" });
   }
+}
+
+net::HttpServerResponse
+ControlLoop::ServeMetrics() const
+{
   const auto now = Clock::now();
   const auto seconds = [](state::Duration aDuration) {
     return std::chrono::duration<double>(aDuration).count();
@@ -142,9 +160,7 @@
             peer.mMember.mDataCentre.mValue +
             (fleet::IsAlive(peer, now) ? " alive" : " dead") + "\n";
   }
-  text += FormatEvacuations(EvacuationReports());
-  return mTrafficReport.mUpstreamDump ? text + *mTrafficReport.mUpstreamDump
-                                      : text;
+  return text + FormatEvacuations(EvacuationReports());
 }
 
 } // namespace sassafrasknot::edge
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -121,7 +121,6 @@
   using Serve = net::HttpServerResponse (ControlLoop::*)(std::string_view);
   const std::pair<state::Endpoint, Serve> servers[] = {
     { mSettings.mReadinessEndpoint, &ControlLoop::ServeReadiness },
-    { mSettings.mAdminEndpoint, &ControlLoop::ServeAdmin },
     { mSettings.mFleetEndpoint, &ControlLoop::ServeFleet },
   };
   for (const auto& [endpoint, serve] : servers) {
@@ -134,6 +133,14 @@
     }
     mServers.push_back(std::move(server).value());
   }
+  auto adminServer = net::HttpServer::OpenAsync(
+    mContext, mSettings.mAdminEndpoint, [this](auto aTarget, auto aRespond) {
+      ServeAdmin(aTarget, std::move(aRespond));
+    });
+  if (!adminServer) {
+    return adminServer.error();
+  }
+  mServers.push_back(std::move(adminServer).value());
   mSignals.add(SIGTERM);
   mSignals.add(SIGHUP);
   WaitForSignal();
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -106,11 +106,14 @@
   /// Returns whether the platform should send packets to this instance.
   bool IsReady() const;
   net::HttpServerResponse ServeReadiness(std::string_view aTarget);
-  net::HttpServerResponse ServeAdmin(std::string_view aTarget);
+  /// Responds with the dump once the traffic thread has formatted its part.
+  void ServeAdmin(std::string_view aTarget, net::HttpResponder aRespond);
+  net::HttpServerResponse ServeMetrics() const;
   net::HttpServerResponse ServeFleet(std::string_view aTarget);
   /// Returns the encoded changes after a revision; with 0 a full copy, which is
   /// cached.
   std::string EncodeChangesAfter(state::Revision aAfter);
+  /// Returns the part of the dump that the control thread knows.
   std::string FormatDump() const;
 
   EdgeSettings mSettings;
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -66,10 +66,10 @@
   return ToString(aFlow.mCaller) + ">" + ToString(aFlow.mService);
 }
 
-std::shared_ptr<const std::string>
+std::string
 FormatUpstreams(const flows::FlowRouter& aRouter, state::TimePoint aNow)
 {
-  auto text = std::make_shared<std::string>();
+  std::string text;
   for (const auto& [token, record] : aRouter.mUpstreams.mByToken) {
     const auto& detector = record.mFailureDetector;
     const auto& cold = record.mColdAdmission;
@@ -104,30 +104,30 @@
       { "told", YesOrNo(detector.mReported) },
       { "cut_off", YesOrNo(detector.mDataCentreUnreachable) },
     };
-    *text += "upstream " + record.mUpstream.mId;
+    text += "upstream " + record.mUpstream.mId;
     for (const auto& [key, value] : fields) {
-      *text += ' ';
-      *text += key;
-      *text += '=';
-      *text += value;
+      text += ' ';
+      text += key;
+      text += '=';
+      text += value;
     }
-    *text += "\n";
+    text += "\n";
   }
   for (const auto& [service, size] : aRouter.mBulk.mSizes) {
     const auto age =
       std::chrono::duration_cast<std::chrono::seconds>(aNow - size.mUpdated);
-    *text += "uploads service=" + ToString(service) +
-             " mean_bytes=" + std::to_string(std::llround(size.mMeanBytes)) +
-             " samples=" + std::to_string(size.mSamples) +
-             " age_s=" + std::to_string(age.count()) + "\n";
+    text += "uploads service=" + ToString(service) +
+            " mean_bytes=" + std::to_string(std::llround(size.mMeanBytes)) +
+            " samples=" + std::to_string(size.mSamples) +
+            " age_s=" + std::to_string(age.count()) + "\n";
   }
   for (const auto& [endpoint, work] : aRouter.mWork.mRoutes) {
     const auto mean =
       std::chrono::duration_cast<std::chrono::microseconds>(work.mMean);
-    *text += "route_work " + ToString(endpoint) +
-             " mean_us=" + std::to_string(mean.count()) +
-             " samples=" + std::to_string(work.mSamples) +
-             " age_ms=" + AgeText(work.mUpdatedAt, aNow) + '\n';
+    text += "route_work " + ToString(endpoint) +
+            " mean_us=" + std::to_string(mean.count()) +
+            " samples=" + std::to_string(work.mSamples) +
+            " age_ms=" + AgeText(work.mUpdatedAt, aNow) + '\n';
   }
   return text;
 }
--- a/src/sassafrasknot/edge/traffic_log.hpp
+++ b/src/sassafrasknot/edge/traffic_log.hpp
@@ -5,7 +5,6 @@
 #include "sassafrasknot/state/flow.hpp"
 #include "sassafrasknot/state/time.hpp"
 
-#include <memory>
 #include <string>
 
 namespace sassafrasknot::edge {
@@ -17,7 +16,7 @@
 /// Formats one line of the dump per upstream, with its loads and the state of
 /// its failure detector, and one per route with the learned size of its
 /// uploads.
-std::shared_ptr<const std::string>
+std::string
 FormatUpstreams(const flows::FlowRouter& aRouter, state::TimePoint aNow);
 
 } // namespace sassafrasknot::edge
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -30,8 +30,6 @@
 /// Receive buffer of the socket, in bytes. The datagrams in it count against
 /// the memory limit of the instance.
 constexpr std::size_t kReceiveBufferBytes = std::size_t{ 1 } << 20U;
-/// Interval at which the upstreams are formatted for dumps.
-constexpr std::chrono::seconds kDumpInterval{ 5 };
 /// Interval at which the open flows in evacuated data centres are counted,
 /// which iterates over all flows.
 constexpr std::chrono::seconds kEvacuationStatusInterval{ 1 };
@@ -173,6 +171,14 @@
   });
 }
 
+void
+TrafficLoop::RequestUpstreamDump(std::function<void(std::string)> aHandler)
+{
+  boost::asio::post(mContext, [this, handler = std::move(aHandler)] {
+    handler(FormatUpstreams(mRouter, Clock::now()));
+  });
+}
+
 void
 TrafficLoop::ScheduleTick()
 {
@@ -202,17 +208,12 @@
 TrafficLoop::Report(state::TimePoint aNow)
 {
   auto report = ReportUpstreams(mRouter.mUpstreams);
-  if (aNow >= mNextDump) {
-    mNextDump = aNow + kDumpInterval;
-    mUpstreamDump = FormatUpstreams(mRouter, aNow);
-  }
   if (aNow >= mNextEvacuationStatus) {
     mNextEvacuationStatus = aNow + kEvacuationStatusInterval;
     mEvacuations = flows::EvacuationStatuses(mRouter);
   }
   report.mEvacuations = mEvacuations;
   report.mLocalUtilisation = flows::LocalUtilisation(mRouter.mUpstreams);
-  report.mUpstreamDump = mUpstreamDump;
   report.mOpenFlows = mRouter.mFlows.size();
   report.mSinceLastPacket = aNow - mLastPacket;
   mMetrics->mOpenFlows = report.mOpenFlows;
--- a/src/sassafrasknot/edge/traffic_loop.hpp
+++ b/src/sassafrasknot/edge/traffic_loop.hpp
@@ -78,6 +78,10 @@
   /// sent at the given times.
   void ApplyProbeSuccesses(
     std::map<flows::UpstreamToken, state::TimePoint> aProbes);
+  /// Formats the upstreams for the dump and calls the handler on the traffic
+  /// thread. The text takes milliseconds of a core with thousands of upstreams,
+  /// so it is made on request only.
+  void RequestUpstreamDump(std::function<void(std::string)> aHandler);
 
 private:
   void ScheduleTick();
@@ -106,11 +110,9 @@
   flows::FlowRouter mRouter;
   /// Time of the last datagram.
   state::TimePoint mLastPacket;
-  state::TimePoint mNextDump;
   state::TimePoint mNextReport;
   state::TimePoint mNextEvacuationStatus;
   std::map<state::DataCentreId, flows::EvacuationStatus> mEvacuations;
-  std::shared_ptr<const std::string> mUpstreamDump;
   /// Packets that arrived before the first directory.
   std::vector<std::vector<std::uint8_t>> mHeld;
   boost::asio::io_context mContext{ 1 };
--- a/src/sassafrasknot/edge/traffic_report.hpp
+++ b/src/sassafrasknot/edge/traffic_report.hpp
@@ -8,8 +8,6 @@
 
 #include <cstddef>
 #include <map>
-#include <memory>
-#include <string>
 #include <vector>
 
 namespace sassafrasknot::edge {
@@ -34,8 +32,6 @@
   std::map<state::DataCentreId, flows::EvacuationStatus> mEvacuations;
   /// Time since the last datagram on the traffic endpoint.
   state::Duration mSinceLastPacket{ 0 };
-  /// State of all upstreams for the dump; it can be a few seconds old.
-  std::shared_ptr<const std::string> mUpstreamDump;
 };
 
 /// Returns a report with the loads and liveness of upstreams; its other members
--- a/src/sassafrasknot/net/http_server.cpp
+++ b/src/sassafrasknot/net/http_server.cpp
@@ -34,7 +34,7 @@
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
-  HttpSession(tcp::socket aSocket, HttpRequestHandler aHandler)
+  HttpSession(tcp::socket aSocket, HttpAsyncHandler aHandler)
     : mStream(std::move(aSocket))
     , mHandler(std::move(aHandler))
   {
@@ -60,16 +60,25 @@
   void Respond()
   {
     const auto& request = mParser->get();
-    HttpServerResponse response{ 405, "text/plain", "only GET is supported\n" };
-    if (request.method() == http::verb::get) {
-      const auto target = request.target();
-      response = mHandler({ target.data(), target.size() });
+    if (request.method() != http::verb::get) {
+      Write({ 405, "text/plain", "only GET is supported\n" });
+      return;
     }
+    const auto target = request.target();
+    mHandler({ target.data(), target.size() },
+             [self = shared_from_this()](HttpServerResponse aResponse) {
+               self->Write(std::move(aResponse));
+             });
+  }
+
+  void Write(HttpServerResponse aResponse)
+  {
+    const auto& request = mParser->get();
     mResponse = {};
     mResponse.version(request.version());
-    mResponse.result(response.mStatus);
-    mResponse.set(http::field::content_type, response.mContentType);
-    mResponse.body() = std::move(response.mBody);
+    mResponse.result(aResponse.mStatus);
+    mResponse.set(http::field::content_type, aResponse.mContentType);
+    mResponse.body() = std::move(aResponse.mBody);
     mResponse.keep_alive(request.keep_alive());
     mResponse.prepare_payload();
     http::async_write(
@@ -83,7 +92,7 @@
   }
 
   beast::tcp_stream mStream;
-  HttpRequestHandler mHandler;
+  HttpAsyncHandler mHandler;
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::empty_body>> mParser;
   http::response<http::string_body> mResponse;
@@ -92,7 +101,7 @@
 } // namespace
 
 HttpServer::HttpServer(boost::asio::io_context& aContext,
-                       HttpRequestHandler aHandler)
+                       HttpAsyncHandler aHandler)
   : mAcceptor(aContext)
   , mRetryTimer(aContext)
   , mHandler(std::move(aHandler))
@@ -103,6 +112,19 @@
 HttpServer::Open(boost::asio::io_context& aContext,
                  const state::Endpoint& aEndpoint,
                  HttpRequestHandler aHandler)
+{
+  return OpenAsync(aContext,
+                   aEndpoint,
+                   [handler = std::move(aHandler)](
+                     std::string_view aTarget, const HttpResponder& aRespond) {
+                     aRespond(handler(aTarget));
+                   });
+}
+
+state::Result<std::shared_ptr<HttpServer>>
+HttpServer::OpenAsync(boost::asio::io_context& aContext,
+                      const state::Endpoint& aEndpoint,
+                      HttpAsyncHandler aHandler)
 {
   auto server = std::make_shared<HttpServer>(aContext, std::move(aHandler));
   const tcp::endpoint endpoint(
