Compute ranks among all members only if they decide

Each tick of the fleet core computed the reader rank, and each tick of the control thread the representative rank for probes, in passes over all members with a list of the local ones. The reader rank is now computed only if a read may be due: no call is outstanding and the instance is the representative or the confirmation is old enough for any rank. The representative rank is not computed for probes without candidates, and without a list.

sassafrasknot_fleet_test: 42 of 42 pass.

--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -224,6 +224,23 @@
   }
 }
 
+/// Returns whether a read may be due. Most ticks are decided by this, without
+/// the reader rank, which takes a pass over all members.
+bool
+MayBeDue(const FleetCore& aCore, state::TimePoint aNow)
+{
+  const auto& reader = aCore.mReader;
+  if (reader.mOutstanding || aNow < reader.mNextCall) {
+    return false;
+  }
+  // A higher rank than 0 only takes over after the shortest timeout.
+  const auto& timing = reader.mTiming;
+  return !reader.mEverConfirmed ||
+         aNow - reader.mConfirmedAt >
+           std::min(timing.mTakeOverTimeout, timing.mMaxTakeOverTimeout) ||
+         RepresentativeRank(aCore.mPeers, aNow) == 0;
+}
+
 /// Returns the time until the next message to the seeds.
 state::Duration
 SeedPeriod(const FleetCore& aCore, state::TimePoint aNow)
@@ -274,10 +291,12 @@
     SendGossip(aCore, actions, aNow);
     RemoveStaleLoads(aCore, aNow);
   }
-  actions.mRead = NextRead(aCore.mReader,
-                           ReaderRank(aCore.mPeers, aNow),
-                           aCore.mCatalogue.mRevision,
-                           aNow);
+  if (MayBeDue(aCore, aNow)) {
+    actions.mRead = NextRead(aCore.mReader,
+                             ReaderRank(aCore.mPeers, aNow),
+                             aCore.mCatalogue.mRevision,
+                             aNow);
+  }
   return actions;
 }
 
@@ -353,7 +372,10 @@
 std::vector<flows::UpstreamToken>
 UpstreamsToProbe(const FleetCore& aCore, state::TimePoint aNow)
 {
-  if (RepresentativeRank(aCore.mPeers, aNow) != 0) {
+  const auto hasNone = [](const auto& aItem) { return aItem.second.empty(); };
+  if ((aCore.mProbeCandidates.empty() &&
+       std::ranges::all_of(aCore.mPeerProbeCandidates, hasNone)) ||
+      RepresentativeRank(aCore.mPeers, aNow) != 0) {
     return {};
   }
   std::set<flows::UpstreamToken> tokens(aCore.mProbeCandidates.begin(),
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -158,11 +158,12 @@
 std::size_t
 RepresentativeRank(const Peers& aPeers, state::TimePoint aNow)
 {
-  const auto peers = LocalPeers(aPeers, aNow);
   return static_cast<std::size_t>(
-    std::ranges::count_if(peers, [&](const Peer* aPeer) {
-      return HasRecentDirectContact(*aPeer, aNow) &&
-             RanksBefore(aPeer->mMember, aPeers.mSelf);
+    std::ranges::count_if(aPeers.mPeers, [&](const auto& aItem) {
+      const auto& peer = aItem.second;
+      return HasRecentDirectContact(peer, aNow) &&
+             peer.mMember.mDataCentre == aPeers.mSelf.mDataCentre &&
+             IsAlive(peer, aNow) && RanksBefore(peer.mMember, aPeers.mSelf);
     }));
 }
 
