Send the traffic thread only what changed in the directory

A change of one item copied all upstreams into a new directory and compared all of them. The control thread now sends an incremental directory after the first one: the upstreams that were added or changed, and the tokens of those that left. Directories arrive in order and none is lost. If two ids ever have the same token, all later directories are full, since which of them holds it depends on all upstreams. The position of an instance is counted without a list of its local peers.

A test compares the table after incremental directories with one after full ones, on 3,000 random rounds with drains, expiries, restarts and evacuations.

The benchmark now represents an instance that is neither representative nor reader, no longer encodes its peers' messages within the measured time, and has a step for an upstream that comes or goes.

--- a/include/sassafrasknot/flows/directory_builder.hpp
+++ b/include/sassafrasknot/flows/directory_builder.hpp
@@ -7,7 +7,9 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <unordered_set>
 
 namespace sassafrasknot::flows {
 
@@ -30,6 +32,15 @@
   /// Upstreams by id.
   std::map<std::string, Entry> mUpstreams;
   Evacuations mEvacuations;
+  /// Ids of the upstreams that changed since the last BuildNextDirectory.
+  std::set<std::string> mChanged;
+  /// Tokens of all upstreams.
+  std::unordered_set<UpstreamToken> mTokens;
+  /// Whether the next directory must have all upstreams.
+  bool mNeedsAll = true;
+  /// Whether two ids had the same token at any time. Which of them holds it
+  /// depends on all upstreams, so that no directory is incremental any more.
+  bool mHasSharedToken = false;
 };
 
 /// @brief Adds an upstream or replaces its description. An expired one is
@@ -64,6 +75,15 @@
 std::shared_ptr<const Directory>
 BuildDirectory(const DirectoryBuilder& aBuilder, state::Revision aRevision);
 
+/// @brief Builds the directory that follows the last one that this function
+/// built: incremental, so that its cost depends on the changes only. The first
+/// one has all upstreams.
+/// @param aBuilder the builder
+/// @param aRevision revision of the store that the items are from
+/// @return the directory, to be applied after the previous one
+std::shared_ptr<const Directory>
+BuildNextDirectory(DirectoryBuilder& aBuilder, state::Revision aRevision);
+
 } // namespace sassafrasknot::flows
 
 #endif
--- a/include/sassafrasknot/flows/routing.hpp
+++ b/include/sassafrasknot/flows/routing.hpp
@@ -121,7 +121,8 @@
 using Evacuations = std::map<state::DataCentreId, state::Revision>;
 
 /// @brief Configuration and upstreams at one revision of the store; immutable
-/// once passed to the traffic thread.
+/// once passed to the traffic thread. An incremental one only has the upstreams
+/// that differ from the previous directory.
 struct Directory
 {
   state::Revision mRevision = 0;
@@ -129,6 +130,10 @@
   std::vector<ListedUpstream> mUpstreams;
   /// Data centres whose upstreams receive no new flow.
   Evacuations mEvacuations;
+  bool mIsIncremental = false;
+  /// Tokens of the upstreams that left since the previous directory; only for
+  /// an incremental one.
+  std::vector<UpstreamToken> mRemoved;
 };
 
 } // namespace sassafrasknot::flows
--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -134,6 +134,8 @@
 {
   std::unordered_map<UpstreamToken, UpstreamRecord> mByToken;
   std::map<std::string, ServicePool, std::less<>> mByService;
+  /// Upstreams that left the directory and are kept for a while.
+  std::set<UpstreamToken> mRemoved;
   /// Number of directories that have been applied.
   std::uint64_t mDirectories = 0;
   /// Whether the last directory had evacuated data centres.
@@ -151,7 +153,8 @@
   std::vector<UpstreamToken> mWithoutUtilisation;
 };
 
-/// @brief Applies a new directory. Upstreams that are no longer in it are kept
+/// @brief Applies a new directory, or the changes that an incremental one has.
+/// Upstreams that are no longer in it are kept
 /// as removed for longer than a flow may live, so that packets still reach
 /// them. UpdateColdLimits has to be called afterwards.
 /// @param aTable the table
--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -97,7 +97,7 @@
   mDirectoryOutdated = false;
   CheckEvacuations();
   mTraffic.SetDirectory(
-    flows::BuildDirectory(mDirectoryBuilder, mCore.mCatalogue.mRevision));
+    flows::BuildNextDirectory(mDirectoryBuilder, mCore.mCatalogue.mRevision));
   if (!std::exchange(mDirectoryPublished, true)) {
     mLog->Write(
       "ready",
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -119,12 +119,15 @@
 flows::InstancePosition
 LocalPosition(const Peers& aPeers, state::TimePoint aNow)
 {
-  const auto peers = LocalPeers(aPeers, aNow);
-  const auto before =
-    std::ranges::count_if(peers, [&aPeers](const Peer* aPeer) {
-      return aPeer->mMember.mEndpoint < aPeers.mSelf.mEndpoint;
-    });
-  return { static_cast<std::size_t>(before), peers.size() + 1 };
+  flows::InstancePosition position;
+  for (const auto& [endpoint, peer] : aPeers.mPeers) {
+    if (peer.mMember.mDataCentre == aPeers.mSelf.mDataCentre &&
+        IsAlive(peer, aNow)) {
+      ++position.mCount;
+      position.mIndex += endpoint < aPeers.mSelf.mEndpoint ? 1 : 0;
+    }
+  }
+  return position;
 }
 
 LocalPeerGroups
--- a/src/sassafrasknot/flows/directory_builder.cpp
+++ b/src/sassafrasknot/flows/directory_builder.cpp
@@ -1,13 +1,20 @@
 #include "sassafrasknot/flows/directory_builder.hpp"
 
+#include <utility>
+
 namespace sassafrasknot::flows {
 
 void
 UpsertUpstream(DirectoryBuilder& aBuilder, const Upstream& aUpstream)
 {
-  aBuilder.mUpstreams[aUpstream.mId] = {
-    { aUpstream, Presence::Listed, TokenOf(aUpstream.mId) }, {}
-  };
+  const auto token = TokenOf(aUpstream.mId);
+  const bool isNew = !aBuilder.mUpstreams.contains(aUpstream.mId);
+  if (isNew && !aBuilder.mTokens.insert(token).second) {
+    aBuilder.mHasSharedToken = true;
+  }
+  aBuilder.mChanged.insert(aUpstream.mId);
+  aBuilder.mUpstreams[aUpstream.mId] = { { aUpstream, Presence::Listed, token },
+                                         {} };
 }
 
 void
@@ -20,7 +27,9 @@
     return;
   }
   auto& [listed, expiredAt] = found->second;
+  aBuilder.mChanged.insert(aId);
   if (listed.mUpstream.mDraining) {
+    aBuilder.mTokens.erase(listed.mToken);
     aBuilder.mUpstreams.erase(found);
   } else if (listed.mPresence == Presence::Listed) {
     listed.mPresence = Presence::Expired;
@@ -32,9 +41,14 @@
 RemoveExpired(DirectoryBuilder& aBuilder, state::TimePoint aNow)
 {
   return std::erase_if(aBuilder.mUpstreams, [&](const auto& aItem) {
-           const auto& entry = aItem.second;
-           return entry.mListed.mPresence == Presence::Expired &&
-                  aNow - entry.mExpiredAt > kExpiryGracePeriod;
+           const auto& [listed, expiredAt] = aItem.second;
+           const bool isOver = listed.mPresence == Presence::Expired &&
+                               aNow - expiredAt > kExpiryGracePeriod;
+           if (isOver) {
+             aBuilder.mChanged.insert(aItem.first);
+             aBuilder.mTokens.erase(listed.mToken);
+           }
+           return isOver;
          }) > 0;
 }
 
@@ -52,4 +66,27 @@
   return directory;
 }
 
+std::shared_ptr<const Directory>
+BuildNextDirectory(DirectoryBuilder& aBuilder, state::Revision aRevision)
+{
+  const auto changed = std::exchange(aBuilder.mChanged, {});
+  if (std::exchange(aBuilder.mNeedsAll, false) || aBuilder.mHasSharedToken) {
+    return BuildDirectory(aBuilder, aRevision);
+  }
+  auto directory = std::make_shared<Directory>();
+  directory->mRevision = aRevision;
+  directory->mConfiguration = aBuilder.mConfiguration;
+  directory->mEvacuations = aBuilder.mEvacuations;
+  directory->mIsIncremental = true;
+  for (const auto& id : changed) {
+    const auto found = aBuilder.mUpstreams.find(id);
+    if (found == aBuilder.mUpstreams.end()) {
+      directory->mRemoved.push_back(TokenOf(id));
+    } else {
+      directory->mUpstreams.push_back(found->second.mListed);
+    }
+  }
+  return directory;
+}
+
 } // namespace sassafrasknot::flows
--- a/src/sassafrasknot/flows/directory_test.cpp
+++ b/src/sassafrasknot/flows/directory_test.cpp
@@ -37,6 +37,23 @@
   EXPECT_TRUE(BuildDirectory(builder, 1)->mUpstreams.empty());
 }
 
+// Guards against an incremental directory after two ids had the same token:
+// which of them holds it depends on all upstreams.
+TEST(DirectoryBuilder, SharedTokensEndIncrementalDirectories)
+{
+  DirectoryBuilder builder;
+  UpsertUpstream(builder, MakeUpstream("i-1", "a"));
+  EXPECT_FALSE(BuildNextDirectory(builder, 1)->mIsIncremental);
+  UpsertUpstream(builder, MakeUpstream("i-1", "b"));
+  EXPECT_TRUE(BuildNextDirectory(builder, 2)->mIsIncremental);
+  // Stands for another id with the same hash.
+  builder.mTokens.insert(TokenOf("i-2"));
+  UpsertUpstream(builder, MakeUpstream("i-2", "a"));
+  EXPECT_EQ(BuildNextDirectory(builder, 3)->mUpstreams.size(), 2U);
+  RemoveUpstream(builder, "i-2", At(milliseconds(0)));
+  EXPECT_FALSE(BuildNextDirectory(builder, 4)->mIsIncremental);
+}
+
 // Guards against instances that route one token to different upstreams: if the
 // hashes of two ids collide, the upstream that was published first keeps the
 // token, in whatever order an instance receives them.
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -63,6 +63,24 @@
   return changesPools;
 }
 
+/// Erases the upstreams that were removed longer than kRemovedRetention ago.
+void
+EraseRemoved(UpstreamTable& aTable, state::TimePoint aNow)
+{
+  std::erase_if(aTable.mRemoved, [&](UpstreamToken aToken) {
+    const auto found = aTable.mByToken.find(aToken);
+    const bool isRemoved = found != aTable.mByToken.end() &&
+                           found->second.mPresence == Presence::Removed;
+    if (isRemoved && aNow - found->second.mRemovedAt <= kRemovedRetention) {
+      return false;
+    }
+    if (isRemoved) {
+      aTable.mByToken.erase(found);
+    }
+    return true;
+  });
+}
+
 bool
 HasLoadOrEvidence(const UpstreamRecord& aRecord)
 {
@@ -91,20 +109,29 @@
     }
     record.mLastDirectory = number;
   }
-  for (auto it = aTable.mByToken.begin(); it != aTable.mByToken.end();) {
-    auto& record = it->second;
-    if (record.mLastDirectory != number) {
-      if (record.mPresence != Presence::Removed) {
-        record.mPresence = Presence::Removed;
-        record.mRemovedAt = aNow;
-        changesPools = true;
-      } else if (aNow - record.mRemovedAt > kRemovedRetention) {
-        it = aTable.mByToken.erase(it);
-        continue;
+  const auto remove = [&](UpstreamRecord& aRecord) {
+    if (aRecord.mPresence != Presence::Removed) {
+      aRecord.mPresence = Presence::Removed;
+      aRecord.mRemovedAt = aNow;
+      aTable.mRemoved.insert(aRecord.mToken);
+      changesPools = true;
+    }
+  };
+  if (aDirectory.mIsIncremental) {
+    for (const auto token : aDirectory.mRemoved) {
+      auto* record = FindUpstream(aTable, token);
+      if (record != nullptr && record->mLastDirectory != number) {
+        remove(*record);
+      }
+    }
+  } else {
+    for (auto& [token, record] : aTable.mByToken) {
+      if (record.mLastDirectory != number) {
+        remove(record);
       }
     }
-    ++it;
   }
+  EraseRemoved(aTable, aNow);
   const bool hasEvacuations = !aDirectory.mEvacuations.empty();
   if (std::exchange(aTable.mHasEvacuations, hasEvacuations) || hasEvacuations) {
     changesPools =
--- a/src/sassafrasknot/flows/upstream_table_test.cpp
+++ b/src/sassafrasknot/flows/upstream_table_test.cpp
@@ -1,3 +1,4 @@
+#include "sassafrasknot/flows/evacuation.hpp"
 #include "sassafrasknot/flows/flow_fixture_test.hpp"
 #include "sassafrasknot/flows/upstream_table.hpp"
 
@@ -157,6 +158,53 @@
   EXPECT_GT(kept, 1000);
 }
 
+// Guards against an incremental directory that lacks a change, so that the
+// instance would place flows on an upstream that is gone or draining.
+TEST(UpstreamTable, IncrementalDirectoriesEqualFullOnes)
+{
+  std::minstd_rand random(17);
+  DirectoryBuilder builder;
+  UpstreamTable table;
+  UpstreamTable reference;
+  for (int round = 0; round < 3000; ++round) {
+    const auto now = At(round * std::chrono::seconds(2));
+    for (auto changes = random() % 4; changes > 0; --changes) {
+      const auto index = random() % kUpstreams;
+      const auto id = "i-" + std::to_string(index);
+      if (random() % 3 == 0) {
+        RemoveUpstream(builder, id, now);
+      } else {
+        auto upstream = MakeUpstream(id, index % 2 == 0 ? "a" : "b");
+        upstream.mDraining = random() % 3 == 0;
+        upstream.mStarted = milliseconds(random() % 3);
+        upstream.mWarmUpLeft = milliseconds(random() % 3);
+        UpsertUpstream(builder, upstream);
+      }
+    }
+    if (random() % 50 == 0) {
+      BeginEvacuation(builder,
+                      { { "b" }, static_cast<state::Revision>(round) });
+    } else if (random() % 50 == 0) {
+      EndEvacuation(builder, { "b" });
+    }
+    RemoveExpired(builder, now);
+    const auto next = BuildNextDirectory(builder, 1);
+    ASSERT_EQ(next->mIsIncremental, round > 0);
+    ASSERT_EQ(UpdateTable(table, *next, now),
+              UpdateTable(reference, *BuildDirectory(builder, 1), now));
+    ASSERT_EQ(table.mByToken.size(), reference.mByToken.size());
+    for (const auto& [token, expected] : reference.mByToken) {
+      const auto* record = FindUpstream(table, token);
+      ASSERT_NE(record, nullptr) << "round " << round;
+      ASSERT_EQ(record->mUpstream, expected.mUpstream) << "round " << round;
+      ASSERT_EQ(record->mPresence, expected.mPresence) << "round " << round;
+      ASSERT_EQ(record->mRemovedAt, expected.mRemovedAt);
+      ASSERT_EQ(record->mWarmUpEnd, expected.mWarmUpEnd);
+      ASSERT_EQ(record->mEvacuated, expected.mEvacuated);
+    }
+  }
+}
+
 /// Returns the upstreams of the whole table with load or evidence, in order of
 /// their tokens.
 std::vector<const UpstreamRecord*>
--- a/testing/measure/regular_cost.cpp
+++ b/testing/measure/regular_cost.cpp
@@ -99,7 +99,26 @@
 {
   ToggleDraining(aDeployment);
   flows::OnDirectory(aDeployment.mRouter,
-                     flows::BuildDirectory(aDeployment.mBuilder, 2),
+                     flows::BuildNextDirectory(aDeployment.mBuilder, 2),
+                     aDeployment.mNow);
+}
+
+/// Adds or removes one upstream, so that the pools change.
+void
+PublishMember(Deployment& aDeployment)
+{
+  auto& builder = aDeployment.mBuilder;
+  const auto upstream = builder.mUpstreams.rbegin()->second.mListed.mUpstream;
+  auto added = upstream;
+  added.mId = "i-added";
+  added.mDraining = true;
+  if (builder.mUpstreams.contains(added.mId)) {
+    flows::RemoveUpstream(builder, added.mId, aDeployment.mNow);
+  } else {
+    flows::UpsertUpstream(builder, added);
+  }
+  flows::OnDirectory(aDeployment.mRouter,
+                     flows::BuildNextDirectory(builder, 2),
                      aDeployment.mNow);
 }
 
@@ -125,24 +144,26 @@
   }
 }
 
-/// Messages of an instance per second: those to and from neighbours and others,
-/// with encoding, and the ticks of the control thread.
+/// One second of the messages of other instances, the ticks of the control
+/// thread and the messages that they send, encoded.
 void
 ExchangeForOneSecond(Deployment& aDeployment)
 {
   auto& core = aDeployment.mCore;
   constexpr int kTicks = 40;
   const auto groups = fleet::GroupLocalPeers(core.mPeers, aDeployment.mNow);
-  std::vector<std::string> messages;
+  auto& messages = aDeployment.mMessages;
   const auto encode = [&](const auto& aPeers, std::size_t aLoads) {
     for (const auto* peer : aPeers) {
       messages.push_back(messages::EncodeMessage(
         measure::MakeNeighbourMessage(aDeployment, peer->mMember, aLoads)));
     }
   };
-  encode(groups.mNeighbours, 10);
-  const auto neighbours = messages.size();
-  encode(groups.mOthers, 0);
+  if (messages.empty()) {
+    encode(groups.mNeighbours, 10);
+    encode(groups.mOthers, 0);
+  }
+  const auto neighbours = groups.mNeighbours.size();
   // Without this, remote members would be dead after some seconds of virtual
   // time.
   for (auto& [endpoint, peer] : core.mPeers.mPeers) {
@@ -202,6 +223,7 @@
     { "loads of peers", rate(kTicksPerSecond), &ApplyPeerLoads },
     { "fleet messages and ticks", rate(1), &ExchangeForOneSecond },
     { "change of one upstream", rate(kChangesPerSecond), &PublishChange },
+    { "addition or removal of one", rate(kChangesPerSecond), &PublishMember },
     { "start: encode full copy",
       rate(0),
       [encodedCopy](Deployment& aDeployment) { encodedCopy(aDeployment); } },
--- a/testing/measure/regular_cost.hpp
+++ b/testing/measure/regular_cost.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace sassafrasknot::measure {
@@ -27,6 +28,9 @@
   fleet::FleetCore mCore;
   /// Loads of the neighbours, as PeerLoads returns them.
   edge::PeerLoadUpdate mPeerLoads;
+  /// Encoded messages of the neighbours and the other local peers, in this
+  /// order; made on first use.
+  std::vector<std::string> mMessages;
   state::TimePoint mNow{ std::chrono::hours(1) };
   std::minstd_rand mRandom{ 1 };
 };
--- a/testing/measure/regular_cost_setup.cpp
+++ b/testing/measure/regular_cost_setup.cpp
@@ -142,10 +142,12 @@
     std::max(kDataCentres, aUpstreams / kUpstreamsPerInstance);
   auto& core = deployment.mCore;
   fleet::FleetSettings settings;
-  settings.mSelf = MakeMember(0);
+  // Neither representative nor reader, as most instances.
+  const auto self = instances / 2 / kDataCentres * kDataCentres;
+  settings.mSelf = MakeMember(self);
   core = fleet::MakeFleetCore(settings);
   fleet::Merge(core.mCatalogue, { 0, aUpstreams + 1, deployment.mRecords });
-  for (std::size_t index = 1; index < instances; ++index) {
+  for (std::size_t index = 0; index < instances; ++index) {
     fleet::OnMessage(core,
                      MakeNeighbourMessage(deployment,
                                           MakeMember(index),
@@ -166,7 +168,7 @@
   auto& router = deployment.mRouter;
   router = flows::MakeRouter({ { "dc-0" }, {}, 7 });
   flows::OnDirectory(
-    router, flows::BuildDirectory(deployment.mBuilder, 1), deployment.mNow);
+    router, flows::BuildNextDirectory(deployment.mBuilder, 1), deployment.mNow);
   flows::OnPosition(router, deployment.mPeerLoads.mPosition, deployment.mNow);
   OpenFlows(deployment);
   return deployment;
