Find out whether an instance is the representative without its rank

Each tick of most instances counted all local members that rank before them only to see that there is one. IsRepresentative ends at the first. Tests compare it, the rank and the position with the lists of peers, and the reads of a tick with those that the reader rank decides, on random members.

--- a/include/sassafrasknot/fleet/peers.hpp
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -138,6 +138,14 @@
 std::size_t
 RepresentativeRank(const Peers& aPeers, state::TimePoint aNow);
 
+/// @brief Returns whether the RepresentativeRank of this instance is 0. It
+/// usually takes less time, since it ends at the first member that ranks before
+/// this instance.
+/// @param aNow current time on the steady clock
+/// @return whether it is the representative
+bool
+IsRepresentative(const Peers& aPeers, state::TimePoint aNow);
+
 /// @brief Returns this instance's rank in the order in which instances become
 /// the designated reader, which reads the store for the fleet. Representatives
 /// of data centres come first.
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -205,7 +205,7 @@
     ApplyChanges(aCore, aActions, *aMessage.mChanges);
     const bool isRemote = sender.mDataCentre != aCore.mPeers.mSelf.mDataCentre;
     if (isRemote && !aActions.mChangedKeys.empty() && before != 0 &&
-        RepresentativeRank(aCore.mPeers, aNow) == 0) {
+        IsRepresentative(aCore.mPeers, aNow)) {
       PropagateChanges(aCore, aActions, before, false, aNow);
     }
   }
@@ -238,7 +238,7 @@
   return !reader.mEverConfirmed ||
          aNow - reader.mConfirmedAt >
            std::min(timing.mTakeOverTimeout, timing.mMaxTakeOverTimeout) ||
-         RepresentativeRank(aCore.mPeers, aNow) == 0;
+         IsRepresentative(aCore.mPeers, aNow);
 }
 
 /// Returns the time until the next message to the seeds.
@@ -375,7 +375,7 @@
   const auto hasNone = [](const auto& aItem) { return aItem.second.empty(); };
   if ((aCore.mProbeCandidates.empty() &&
        std::ranges::all_of(aCore.mPeerProbeCandidates, hasNone)) ||
-      RepresentativeRank(aCore.mPeers, aNow) != 0) {
+      !IsRepresentative(aCore.mPeers, aNow)) {
     return {};
   }
   std::set<flows::UpstreamToken> tokens(aCore.mProbeCandidates.begin(),
--- a/src/sassafrasknot/fleet/fleet_core_test.cpp
+++ b/src/sassafrasknot/fleet/fleet_core_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 
 #include <gtest/gtest.h>
 
@@ -430,5 +431,42 @@
   EXPECT_TRUE(fixture.Announce(3, milliseconds(1000)));
 }
 
+// Guards against reads that are late or missing because a tick does not compute
+// the reader rank.
+TEST(FleetCore, ReadsEqualThoseThatTheReaderRankDecides)
+{
+  std::minstd_rand random(21);
+  int reads = 0;
+  for (int round = 0; round < 3000; ++round) {
+    const auto now = At(std::chrono::seconds(10));
+    FleetSettings settings;
+    settings.mSelf = { { { 5 }, 7000 }, { "a" }, 100 };
+    auto core = MakeFleetCore(settings);
+    for (std::uint32_t index = 1; index <= random() % 8; ++index) {
+      Member member{ { { index }, 7000 }, { random() % 2 == 0 ? "a" : "b" } };
+      member.mIncarnation = random() % 200;
+      RecordContact(core.mPeers, member, now - milliseconds(random() % 3000));
+    }
+    core.mCatalogue.mRevision = random() % 4;
+    core.mReader.mOutstanding = random() % 4 == 0;
+    core.mReader.mNextCall =
+      now + milliseconds(random() % 20) - milliseconds(15);
+    core.mReader.mEverConfirmed = random() % 4 != 0;
+    core.mReader.mConfirmedAt = now - milliseconds(random() % 6000);
+    auto reader = core.mReader;
+    const auto expected = NextRead(
+      reader, ReaderRank(core.mPeers, now), core.mCatalogue.mRevision, now);
+    const auto read = OnTick(core, now).mRead;
+    ASSERT_EQ(read.has_value(), expected.has_value()) << "round " << round;
+    if (read) {
+      ++reads;
+      EXPECT_EQ(read->mFull, expected->mFull);
+      EXPECT_EQ(read->mAfter, expected->mAfter);
+      EXPECT_EQ(read->mWait, expected->mWait);
+    }
+  }
+  EXPECT_GT(reads, 500);
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
--- a/src/sassafrasknot/fleet/load_exchange.cpp
+++ b/src/sassafrasknot/fleet/load_exchange.cpp
@@ -174,7 +174,7 @@
                      FleetActions& aActions,
                      state::TimePoint aNow)
 {
-  if (RepresentativeRank(aCore.mPeers, aNow) != 0) {
+  if (!IsRepresentative(aCore.mPeers, aNow)) {
     return;
   }
   DataCentreLoads aggregated{ aCore.mPeers.mSelf.mDataCentre, {}, {}, {} };
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -47,6 +47,18 @@
          aNow - aPeer.mLastDirectContact < kDirectContactTimeout;
 }
 
+/// Returns whether a peer is of this instance's data centre and ranks before
+/// this instance as representative.
+bool
+IsRankedBeforeSelf(const Peers& aPeers,
+                   const Peer& aPeer,
+                   state::TimePoint aNow)
+{
+  return HasRecentDirectContact(aPeer, aNow) &&
+         aPeer.mMember.mDataCentre == aPeers.mSelf.mDataCentre &&
+         IsAlive(aPeer, aNow) && RanksBefore(aPeer.mMember, aPeers.mSelf);
+}
+
 /// Returns whether a description of a member, based on a contact at the given
 /// time, belongs to an earlier process than the recorded one. Incarnations are
 /// taken from the time of day, which may have jumped back between two starts,
@@ -163,13 +175,18 @@
 {
   return static_cast<std::size_t>(
     std::ranges::count_if(aPeers.mPeers, [&](const auto& aItem) {
-      const auto& peer = aItem.second;
-      return HasRecentDirectContact(peer, aNow) &&
-             peer.mMember.mDataCentre == aPeers.mSelf.mDataCentre &&
-             IsAlive(peer, aNow) && RanksBefore(peer.mMember, aPeers.mSelf);
+      return IsRankedBeforeSelf(aPeers, aItem.second, aNow);
     }));
 }
 
+bool
+IsRepresentative(const Peers& aPeers, state::TimePoint aNow)
+{
+  return std::ranges::none_of(aPeers.mPeers, [&](const auto& aItem) {
+    return IsRankedBeforeSelf(aPeers, aItem.second, aNow);
+  });
+}
+
 std::size_t
 ReaderRank(const Peers& aPeers, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/fleet/peers_test.cpp
+++ b/src/sassafrasknot/fleet/peers_test.cpp
@@ -1,6 +1,8 @@
 #include "sassafrasknot/fleet/peers.hpp"
 
 #include <chrono>
+#include <random>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -96,5 +98,50 @@
   EXPECT_TRUE(peers.mPeers.empty());
 }
 
+// Guards against ranks and positions that differ between members because one
+// of them counts another set of peers.
+TEST(Peers, RanksAndPositionsEqualThoseOfTheListsOfPeers)
+{
+  std::minstd_rand random(9);
+  int representatives = 0;
+  for (int round = 0; round < 2000; ++round) {
+    auto peers = MakePeers();
+    peers.mSelf.mEndpoint = { { 5 }, 7000 };
+    const auto now = kStart + std::chrono::seconds(10);
+    for (std::uint32_t index = 1; index <= 1 + random() % 8; ++index) {
+      Member member{ { { index }, 7000 }, { random() % 2 == 0 ? "a" : "b" } };
+      member.mIncarnation = random() % 200;
+      member.mLeaving = random() % 4 == 0;
+      const auto age = milliseconds(random() % 5000);
+      if (random() % 2 == 0) {
+        RecordContact(peers, member, now - age);
+      } else {
+        RecordGossip(peers, member, age, now);
+      }
+    }
+    flows::InstancePosition position;
+    std::size_t rank = 0;
+    for (const auto* peer : LocalPeers(peers, now)) {
+      const auto& member = peer->mMember;
+      ++position.mCount;
+      position.mIndex += member.mEndpoint < peers.mSelf.mEndpoint ? 1 : 0;
+      const bool isRecent =
+        peer->mLastDirectContact != state::TimePoint{} &&
+        now - peer->mLastDirectContact < kDirectContactTimeout;
+      rank += isRecent && !member.mLeaving &&
+                  std::pair(member.mIncarnation, member.mEndpoint) <
+                    std::pair(peers.mSelf.mIncarnation, peers.mSelf.mEndpoint)
+                ? 1
+                : 0;
+    }
+    ASSERT_EQ(LocalPosition(peers, now), position) << "round " << round;
+    ASSERT_EQ(RepresentativeRank(peers, now), rank) << "round " << round;
+    ASSERT_EQ(IsRepresentative(peers, now), rank == 0) << "round " << round;
+    representatives += rank == 0 ? 1 : 0;
+  }
+  EXPECT_GT(representatives, 100);
+  EXPECT_LT(representatives, 1900);
+}
+
 } // namespace
 } // namespace sassafrasknot::fleet
