--- a/include/sassafrasknot/flows/upstream_table.hpp
+++ b/include/sassafrasknot/flows/upstream_table.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,9 +64,13 @@
   bool mEvacuated = false;
   /// When it ceases to be slow after its start.
   state::TimePoint mWarmUpEnd;
+  /// Number of the last directory that had its token; see UpstreamTable.
+  std::uint64_t mLastDirectory = 0;
   /// When it left the directory; only for Presence::Removed.
   state::TimePoint mRemovedAt;
   FailureDetector mFailureDetector;
+  /// Whether the table's mObserved contains it.
+  bool mIsObserved = false;
   /// Load by this instance's flows.
   UpstreamLoad mOwnLoad;
   /// Load by other instances' flows, as they last reported it.
@@ -91,9 +96,9 @@
   std::uint64_t mEarlyAnswerCount = 0;
   /// Active requests of all instances, averaged over kLoadAverageTimeConstant.
   double mAverageActiveRequests = 0;
-  /// Mean utilisation (active requests per slot) of its data centre, if that
-  /// reports no loads by upstream; otherwise 0.
-  double mAssumedUtilisation = 0;
+  /// Mean utilisation (active requests per slot) of its data centre, or null if
+  /// none has been assigned; see AssumedUtilisation.
+  const double* mDataCentreUtilisation = nullptr;
   /// Limit of its flows while it is cold.
   ColdAdmission mColdAdmission;
   /// Limit of this instance's active requests while it rejects some.
@@ -142,15 +147,35 @@
   std::map<std::string, ServicePool, std::less<>> mByService;
   /// Upstreams of the last SetSharedSpeeds.
   std::vector<UpstreamToken> mWithSharedSpeed;
+  /// Upstreams that left the directory and are kept for a while.
+  std::set<UpstreamToken> mRemoved;
+  /// Number of directories that have been applied.
+  std::uint64_t mDirectories = 0;
+  /// Whether the last directory had evacuated data centres.
+  bool mHasEvacuations = false;
+  /// Upstreams that may have load of this instance's flows or evidence of a
+  /// failure; see ObservedUpstreams.
+  std::set<UpstreamToken> mObserved;
+  /// Mean utilisations of data centres that report no loads by upstream, 0 for
+  /// others. Entries are not removed, since records point to them.
+  std::map<state::DataCentreId, double> mMeanUtilisations;
+  /// Upstreams to which the last SetPeerLoads assigned loads, in order.
+  std::vector<UpstreamToken> mPeerLoaded;
+  /// Upstreams that are new, have restarted or have moved to another data
+  /// centre since the last SetPeerLoads.
+  std::vector<UpstreamToken> mWithoutUtilisation;
 };
 
-/// @brief Applies a new directory. Upstreams that are no longer in it are kept
+/// @brief Applies a new directory, or the changes that an incremental one has.
+/// Upstreams that are no longer in it are kept
 /// as removed for longer than a flow may live, so that packets still reach
-/// them. BuildPools and UpdateColdLimits have to be called afterwards.
+/// them. UpdateColdLimits has to be called afterwards.
 /// @param aTable the table
 /// @param aDirectory directory that replaces the previous one
 /// @param aNow current time on the steady clock
-void
+/// @return whether BuildPools has to be called before: an upstream was added or
+/// removed, or its service, data centre or evacuation has changed
+bool
 UpdateTable(UpstreamTable& aTable,
             const Directory& aDirectory,
             state::TimePoint aNow);
@@ -164,7 +189,8 @@
            const state::DataCentreId& aDataCentre,
            const InstancePosition& aPosition);
 
-/// @brief Replaces the loads that other instances have reported.
+/// @brief Replaces the loads that other instances have reported. The time that
+/// this takes depends on the number of loads, not of upstreams.
 /// @param aTable the table
 /// @param aLoads sums of other instances' loads by upstream; an upstream that
 /// is missing has none
@@ -185,6 +211,13 @@
                 const std::map<UpstreamToken, SharedSpeed>& aSpeeds,
                 state::TimePoint aNow);
 
+/// @brief Returns the mean utilisation of an upstream's data centre.
+/// @param aRecord the upstream
+/// @return active requests per slot; 0 if its data centre reports loads by
+/// upstream or nothing
+double
+AssumedUtilisation(const UpstreamRecord& aRecord);
+
 /// @brief Returns the active requests per slot of the local upstreams among
 /// which this instance chooses.
 /// @param aTable the table
@@ -208,6 +241,22 @@
 void
 UpdateLoadAverages(UpstreamTable& aTable, state::Duration aElapsed);
 
+/// @brief Records that an upstream has load of this instance's flows or
+/// evidence of a failure. It is done for each flow's upstream on ticks, and for
+/// each retransmission and change of liveness.
+/// @param aTable the table
+/// @param aRecord an upstream of the table
+void
+MarkObserved(UpstreamTable& aTable, UpstreamRecord& aRecord);
+
+/// @brief Returns the upstreams that have load of this instance's flows or
+/// evidence of a failure, and forgets those marked ones that have neither any
+/// more. The time that this takes does not depend on the number of upstreams.
+/// @param aTable the table
+/// @return the upstreams in order of their tokens
+std::vector<UpstreamRecord*>
+ObservedUpstreams(UpstreamTable& aTable);
+
 /// @brief Returns the upstream that a token names.
 /// @param aTable the table
 /// @param aToken token of a packet
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/edge/traffic_loop.hpp"
 
 #include "sassafrasknot/edge/traffic_log.hpp"
+#include "sassafrasknot/edge/traffic_report.hpp"
 #include "sassafrasknot/state/hashing.hpp"
 
 #include <utility>
@@ -32,8 +33,6 @@
 /// Receive buffer of the socket, in bytes. The datagrams in it count against
 /// the memory limit of the instance.
 constexpr std::size_t kReceiveBufferBytes = std::size_t{ 1 } << 20U;
-/// Interval at which the upstreams are formatted for dumps.
-constexpr std::chrono::seconds kDumpInterval{ 5 };
 /// Interval at which the open flows in evacuated data centres are counted,
 /// which iterates over all flows.
 constexpr std::chrono::seconds kEvacuationStatusInterval{ 1 };
@@ -185,6 +184,14 @@
   });
 }
 
+void
+TrafficLoop::RequestUpstreamDump(std::function<void(std::string)> aHandler)
+{
+  boost::asio::post(mContext, [this, handler = std::move(aHandler)] {
+    handler(FormatUpstreams(mRouter, Clock::now()));
+  });
+}
+
 void
 TrafficLoop::ScheduleTick()
 {
@@ -213,33 +220,10 @@
 void
 TrafficLoop::Report(state::TimePoint aNow)
 {
-  TrafficReport report;
+  auto report = ReportUpstreams(mRouter.mUpstreams);
   if (aNow >= mNextSpeedReport) {
     mNextSpeedReport = aNow + kSpeedReportInterval;
-    report.mOwnSpeeds.emplace();
-  }
-  for (const auto& [token, record] : mRouter.mUpstreams.mByToken) {
-    if (record.mOwnLoad != flows::UpstreamLoad{}) {
-      report.mOwnLoads.push_back({ token, record.mOwnLoad });
-    }
-    if (report.mOwnSpeeds) {
-      if (const auto percent =
-            flows::ReportedSpeedPercent(record.mSpeed, aNow)) {
-        report.mOwnSpeeds->emplace(token, percent);
-      }
-    }
-    if (record.mFailureDetector.mLiveness == flows::Liveness::Unresponsive &&
-        !record.mFailureDetector.mDataCentreUnreachable) {
-      report.mUnresponsive.push_back(token);
-    }
-    if (record.mFailureDetector.mLiveness != flows::Liveness::Responsive &&
-        record.mPresence != flows::Presence::Removed && !record.mEvacuated) {
-      report.mProbeCandidates.push_back(token);
-    }
-  }
-  if (aNow >= mNextDump) {
-    mNextDump = aNow + kDumpInterval;
-    mUpstreamDump = FormatUpstreams(mRouter, aNow);
+    report.mOwnSpeeds = ReportSpeeds(mRouter.mUpstreams, aNow);
   }
   if (aNow >= mNextEvacuationStatus) {
     mNextEvacuationStatus = aNow + kEvacuationStatusInterval;
@@ -247,7 +231,6 @@
   }
   report.mEvacuations = mEvacuations;
   report.mLocalUtilisation = flows::LocalUtilisation(mRouter.mUpstreams);
-  report.mUpstreamDump = mUpstreamDump;
   report.mOpenFlows = mRouter.mFlows.size();
   report.mSinceLastPacket = aNow - mLastPacket;
   mMetrics->mOpenFlows = report.mOpenFlows;
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -47,6 +47,18 @@
          aNow - aPeer.mLastDirectContact < kDirectContactTimeout;
 }
 
+/// Returns whether a peer is of this instance's data centre and ranks before
+/// this instance as representative.
+bool
+IsRankedBeforeSelf(const Peers& aPeers,
+                   const Peer& aPeer,
+                   state::TimePoint aNow)
+{
+  return HasRecentDirectContact(aPeer, aNow) &&
+         aPeer.mMember.mDataCentre == aPeers.mSelf.mDataCentre &&
+         IsAlive(aPeer, aNow) && RanksBefore(aPeer.mMember, aPeers.mSelf);
+}
+
 /// Returns whether a description of a member, based on a contact at the given
 /// time, belongs to an earlier process than the recorded one. Incarnations are
 /// taken from the time of day, which may have jumped back between two starts,
@@ -119,12 +131,15 @@
 flows::InstancePosition
 LocalPosition(const Peers& aPeers, state::TimePoint aNow)
 {
-  const auto peers = LocalPeers(aPeers, aNow);
-  const auto before =
-    std::ranges::count_if(peers, [&aPeers](const Peer* aPeer) {
-      return aPeer->mMember.mEndpoint < aPeers.mSelf.mEndpoint;
-    });
-  return { static_cast<std::size_t>(before), peers.size() + 1 };
+  flows::InstancePosition position;
+  for (const auto& [endpoint, peer] : aPeers.mPeers) {
+    if (peer.mMember.mDataCentre == aPeers.mSelf.mDataCentre &&
+        IsAlive(peer, aNow)) {
+      ++position.mCount;
+      position.mIndex += endpoint < aPeers.mSelf.mEndpoint ? 1 : 0;
+    }
+  }
+  return position;
 }
 
 LocalPeerGroups
@@ -158,14 +173,20 @@
 std::size_t
 RepresentativeRank(const Peers& aPeers, state::TimePoint aNow)
 {
-  const auto peers = LocalPeers(aPeers, aNow);
   return static_cast<std::size_t>(
-    std::ranges::count_if(peers, [&](const Peer* aPeer) {
-      return HasRecentDirectContact(*aPeer, aNow) &&
-             RanksBefore(aPeer->mMember, aPeers.mSelf);
+    std::ranges::count_if(aPeers.mPeers, [&](const auto& aItem) {
+      return IsRankedBeforeSelf(aPeers, aItem.second, aNow);
     }));
 }
 
+bool
+IsRepresentative(const Peers& aPeers, state::TimePoint aNow)
+{
+  return std::ranges::none_of(aPeers.mPeers, [&](const auto& aItem) {
+    return IsRankedBeforeSelf(aPeers, aItem.second, aNow);
+  });
+}
+
 std::size_t
 ReaderRank(const Peers& aPeers, state::TimePoint aNow)
 {
--- a/src/sassafrasknot/flows/evacuation.cpp
+++ b/src/sassafrasknot/flows/evacuation.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/flows/evacuation.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sassafrasknot::flows {
 namespace {
@@ -15,7 +16,7 @@
   const double activeRequests =
     aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests;
   const double utilisation = std::max(activeRequests / aRecord.mUpstream.mSlots,
-                                      aRecord.mAssumedUtilisation);
+                                      AssumedUtilisation(aRecord));
   return std::max(1 - utilisation, kMinSpareCapacity);
 }
 
@@ -49,12 +50,17 @@
     }));
 }
 
-void
+bool
 ApplyEvacuations(UpstreamTable& aTable, const Evacuations& aEvacuations)
 {
+  bool hasChanged = false;
   for (auto& [token, record] : aTable.mByToken) {
-    record.mEvacuated = aEvacuations.contains(record.mUpstream.mDataCentre);
+    const bool isEvacuated =
+      aEvacuations.contains(record.mUpstream.mDataCentre);
+    hasChanged = std::exchange(record.mEvacuated, isEvacuated) != isEvacuated ||
+                 hasChanged;
   }
+  return hasChanged;
 }
 
 void
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -112,9 +112,10 @@
       return !configuration->mRoutes.contains(aItem.first);
     });
   }
-  UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow);
-  BuildPools(
-    aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aRouter.mPosition);
+  if (UpdateTable(aRouter.mUpstreams, *aRouter.mDirectory, aNow)) {
+    BuildPools(
+      aRouter.mUpstreams, aRouter.mSettings.mDataCentre, aRouter.mPosition);
+  }
   ApplyColdLimits(aRouter, aNow);
   if (previous) {
     RestartWarmUpsAfterEvacuation(aRouter, *previous, aNow);
@@ -199,6 +200,7 @@
       it = aRouter.mFlows.erase(it);
       continue;
     }
+    MarkObserved(aRouter.mUpstreams, *record);
     const bool isOpenUnanswered =
       !entry.mEstablished && aNow - entry.mOpenSent >= kAnswerTimeout;
     if (isOpenUnanswered && entry.mMissingAnswers == 0 &&
--- a/src/sassafrasknot/flows/upstream_table.cpp
+++ b/src/sassafrasknot/flows/upstream_table.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <unordered_set>
 #include <utility>
 
 namespace sassafrasknot::flows {
@@ -28,8 +27,10 @@
 
 /// Updates an upstream's record from the directory. The record of an upstream
 /// that is new or has restarted is reset, except for this instance's load.
-void
-UpdateRecord(UpstreamRecord& aRecord,
+/// Returns whether the pools change.
+bool
+UpdateRecord(UpstreamTable& aTable,
+             UpstreamRecord& aRecord,
              UpstreamToken aToken,
              const ListedUpstream& aListed,
              state::TimePoint aNow)
@@ -38,53 +39,110 @@
   const bool isNew = aRecord.mToken == kNoToken ||
                      aRecord.mUpstream.mId != upstream.mId ||
                      aRecord.mUpstream.mStarted != upstream.mStarted;
+  // The pools do not depend on the difference of Listed and Expired.
+  const bool changesPools =
+    aRecord.mToken == kNoToken || aRecord.mPresence == Presence::Removed ||
+    aListed.mPresence == Presence::Removed ||
+    aRecord.mUpstream.mService != upstream.mService ||
+    aRecord.mUpstream.mDataCentre != upstream.mDataCentre;
   if (isNew) {
     const bool isRestart = aRecord.mToken != kNoToken;
     // The flow table still has entries that count in this load.
-    aRecord = UpstreamRecord{ .mOwnLoad = aRecord.mOwnLoad,
+    aRecord = UpstreamRecord{ .mEvacuated = aRecord.mEvacuated,
+                              .mOwnLoad = aRecord.mOwnLoad,
                               .mExcessBacklog = aRecord.mExcessBacklog };
     if (isRestart) {
       aRecord.mIgnoreSharedSpeedUntil = aNow + kSharedSpeedDelay;
     }
   }
+  if (isNew || aRecord.mUpstream.mDataCentre != upstream.mDataCentre) {
+    aTable.mWithoutUtilisation.push_back(aToken);
+  }
   if (isNew || aRecord.mUpstream.mWarmUpLeft != upstream.mWarmUpLeft) {
     aRecord.mWarmUpEnd = aNow + upstream.mWarmUpLeft;
   }
   aRecord.mUpstream = upstream;
   aRecord.mToken = aToken;
   aRecord.mPresence = aListed.mPresence;
+  return changesPools;
+}
+
+/// Erases the upstreams that were removed longer than kRemovedRetention ago.
+void
+EraseRemoved(UpstreamTable& aTable, state::TimePoint aNow)
+{
+  std::erase_if(aTable.mRemoved, [&](UpstreamToken aToken) {
+    const auto found = aTable.mByToken.find(aToken);
+    const bool isRemoved = found != aTable.mByToken.end() &&
+                           found->second.mPresence == Presence::Removed;
+    if (isRemoved && aNow - found->second.mRemovedAt <= kRemovedRetention) {
+      return false;
+    }
+    if (isRemoved) {
+      aTable.mByToken.erase(found);
+    }
+    return true;
+  });
+}
+
+bool
+HasLoadOrEvidence(const UpstreamRecord& aRecord)
+{
+  const auto& detector = aRecord.mFailureDetector;
+  return aRecord.mOwnLoad != UpstreamLoad{} ||
+         detector.mLiveness != Liveness::Responsive ||
+         detector.mRetransmittingFlows > 0 || detector.mOverdueOpenFlows > 0 ||
+         detector.mUnansweredOpens > 0;
 }
 
 } // namespace
 
-void
+bool
 UpdateTable(UpstreamTable& aTable,
             const Directory& aDirectory,
             state::TimePoint aNow)
 {
-  std::unordered_set<UpstreamToken> listed;
+  bool changesPools = false;
+  const auto number = ++aTable.mDirectories;
   for (const auto& entry : aDirectory.mUpstreams) {
-    const auto token = TokenOf(entry.mUpstream.mId);
+    const auto token =
+      entry.mToken == kNoToken ? TokenOf(entry.mUpstream.mId) : entry.mToken;
     auto& record = aTable.mByToken[token];
-    listed.insert(token);
-    if (!LosesToken(record, entry.mUpstream)) {
-      UpdateRecord(record, token, entry, aNow);
-    }
-  }
-  for (auto it = aTable.mByToken.begin(); it != aTable.mByToken.end();) {
-    auto& record = it->second;
-    if (!listed.contains(it->first)) {
-      if (record.mPresence != Presence::Removed) {
-        record.mPresence = Presence::Removed;
-        record.mRemovedAt = aNow;
-      } else if (aNow - record.mRemovedAt > kRemovedRetention) {
-        it = aTable.mByToken.erase(it);
-        continue;
+    if (!LosesToken(record, entry.mUpstream) &&
+        UpdateRecord(aTable, record, token, entry, aNow)) {
+      changesPools = true;
+    }
+    record.mLastDirectory = number;
+  }
+  const auto remove = [&](UpstreamRecord& aRecord) {
+    if (aRecord.mPresence != Presence::Removed) {
+      aRecord.mPresence = Presence::Removed;
+      aRecord.mRemovedAt = aNow;
+      aTable.mRemoved.insert(aRecord.mToken);
+      changesPools = true;
+    }
+  };
+  if (aDirectory.mIsIncremental) {
+    for (const auto token : aDirectory.mRemoved) {
+      auto* record = FindUpstream(aTable, token);
+      if (record != nullptr && record->mLastDirectory != number) {
+        remove(*record);
+      }
+    }
+  } else {
+    for (auto& [token, record] : aTable.mByToken) {
+      if (record.mLastDirectory != number) {
+        remove(record);
       }
     }
-    ++it;
   }
-  ApplyEvacuations(aTable, aDirectory.mEvacuations);
+  EraseRemoved(aTable, aNow);
+  const bool hasEvacuations = !aDirectory.mEvacuations.empty();
+  if (std::exchange(aTable.mHasEvacuations, hasEvacuations) || hasEvacuations) {
+    changesPools =
+      ApplyEvacuations(aTable, aDirectory.mEvacuations) || changesPools;
+  }
+  return changesPools;
 }
 
 void
@@ -131,14 +189,39 @@
              const std::map<UpstreamToken, UpstreamLoad>& aLoads,
              const std::map<state::DataCentreId, double>& aMeanUtilisations)
 {
-  for (auto& [token, record] : aTable.mByToken) {
-    const auto load = aLoads.find(token);
-    record.mPeerLoad = load == aLoads.end() ? UpstreamLoad{} : load->second;
-    const auto utilisation =
-      aMeanUtilisations.find(record.mUpstream.mDataCentre);
-    record.mAssumedUtilisation =
-      utilisation == aMeanUtilisations.end() ? 0 : utilisation->second;
+  for (const auto token : aTable.mPeerLoaded) {
+    auto* record = FindUpstream(aTable, token);
+    if (record != nullptr && !aLoads.contains(token)) {
+      record->mPeerLoad = {};
+    }
+  }
+  aTable.mPeerLoaded.clear();
+  for (const auto& [token, load] : aLoads) {
+    if (auto* record = FindUpstream(aTable, token)) {
+      record->mPeerLoad = load;
+      aTable.mPeerLoaded.push_back(token);
+    }
+  }
+  for (auto& [dataCentre, utilisation] : aTable.mMeanUtilisations) {
+    utilisation = 0;
+  }
+  for (const auto& [dataCentre, utilisation] : aMeanUtilisations) {
+    aTable.mMeanUtilisations[dataCentre] = utilisation;
   }
+  for (const auto token : std::exchange(aTable.mWithoutUtilisation, {})) {
+    if (auto* record = FindUpstream(aTable, token)) {
+      record->mDataCentreUtilisation =
+        &aTable.mMeanUtilisations[record->mUpstream.mDataCentre];
+    }
+  }
+}
+
+double
+AssumedUtilisation(const UpstreamRecord& aRecord)
+{
+  return aRecord.mDataCentreUtilisation == nullptr
+           ? 0
+           : *aRecord.mDataCentreUtilisation;
 }
 
 void
@@ -208,6 +291,33 @@
   }
 }
 
+void
+MarkObserved(UpstreamTable& aTable, UpstreamRecord& aRecord)
+{
+  if (!aRecord.mIsObserved) {
+    aRecord.mIsObserved = true;
+    aTable.mObserved.insert(aRecord.mToken);
+  }
+}
+
+std::vector<UpstreamRecord*>
+ObservedUpstreams(UpstreamTable& aTable)
+{
+  std::vector<UpstreamRecord*> observed;
+  std::erase_if(aTable.mObserved, [&](UpstreamToken aToken) {
+    auto* record = FindUpstream(aTable, aToken);
+    if (record != nullptr && HasLoadOrEvidence(*record)) {
+      observed.push_back(record);
+      return false;
+    }
+    if (record != nullptr) {
+      record->mIsObserved = false;
+    }
+    return true;
+  });
+  return observed;
+}
+
 UpstreamRecord*
 FindUpstream(UpstreamTable& aTable, UpstreamToken aToken)
 {
