--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -212,10 +212,6 @@
         aRouter,
         *record,
         RecordUnansweredOpen(record->mFailureDetector, entry.mOpenSent, aNow));
-      // A full upstream resets the caller's flow, which is not seen here.
-      if (!entry.mFoundFreeSlot) {
-        RecordRejection(aRouter.mCapacity, *record, aNow);
-      }
     }
     if (entry.mRequestActive &&
         (isOpenUnanswered || aNow - entry.mLastPacket > kActivityTimeout)) {
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -113,7 +113,6 @@
   entry.mMayBeDropped = MayDropPacket(aRouter.mLink, aNow);
   entry.mLastPacket = aNow;
   entry.mCountedInLoad = true;
-  entry.mFoundFreeSlot = HasFreeSlot(aRecord);
   // A caller opens a flow to send a request, which therefore counts already.
   entry.mRequestActive = true;
   entry.mBacklog = static_cast<float>(ExpectedRequestWork(
--- a/src/sassafrasknot/flows/router_work.cpp
+++ b/src/sassafrasknot/flows/router_work.cpp
@@ -7,13 +7,6 @@
 
 namespace sassafrasknot::flows {
 
-bool
-HasFreeSlot(const UpstreamRecord& aRecord)
-{
-  return aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests <
-         aRecord.mUpstream.mSlots;
-}
-
 double
 ExpectedRequestWork(const FlowRouter& aRouter,
                     const state::FlowKey& aFlow,
@@ -54,7 +47,9 @@
                   bool aBeginsRequest,
                   state::TimePoint aNow)
 {
-  aEntry.mFoundFreeSlot = HasFreeSlot(aRecord);
+  aEntry.mFoundFreeSlot =
+    aRecord.mOwnLoad.mActiveRequests + aRecord.mPeerLoad.mActiveRequests <
+    aRecord.mUpstream.mSlots;
   if (aBeginsRequest) {
     aEntry.mBacklog = static_cast<float>(
       ExpectedRequestWork(aRouter, aFlow, aRecord.mUpstream.mService, aNow));
--- a/src/sassafrasknot/flows/router_work.hpp
+++ b/src/sassafrasknot/flows/router_work.hpp
@@ -9,11 +9,6 @@
 /// keeps their backlogs.
 namespace sassafrasknot::flows {
 
-/// Returns whether an upstream has a free slot, as far as is known: the active
-/// requests of all instances are fewer than its slots.
-bool
-HasFreeSlot(const UpstreamRecord& aRecord);
-
 /// Returns the expected work of a new request of a flow, in units of the mean
 /// work of its service; 1 while nothing is learned.
 double
