Show the effect of a route's priority in the check of a configuration

The comparison said that a changed priority has no effect on new flows. Since overloaded services admit flows by priority, it decides which ones are deferred or refused first.

--- a/src/sassafrasknot/flows/configuration_check.cpp
+++ b/src/sassafrasknot/flows/configuration_check.cpp
@@ -186,7 +186,8 @@
   aComparison.AddChanged(location + "/priority",
                          std::to_string(aOld.mPriority),
                          std::to_string(aNew.mPriority),
-                         unused);
+                         "decides which new flows an overloaded service "
+                         "defers or refuses first; open flows continue");
 }
 
 /// Adds the changes of the routes.
