Determine priorities only when the configuration changes

Each change of an upstream cleared the outcomes by which an overloaded service decides whether a deferral helps, and iterated over all routes. Now a directory with the same configuration leaves them. The unit tests of flows pass.

--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -98,7 +98,9 @@
   const auto previous =
     std::exchange(aRouter.mDirectory, std::move(aDirectory));
   if (const auto& configuration = aRouter.mDirectory->mConfiguration) {
-    ApplyPriorities(aRouter.mCapacity, *configuration);
+    if (!previous || previous->mConfiguration != configuration) {
+      ApplyPriorities(aRouter.mCapacity, *configuration);
+    }
     std::erase_if(aRouter.mFlowLengths, [&](const auto& aItem) {
       return !configuration->mRoutes.contains(aItem.first);
     });
