Refuse new flows of an overloaded service at once instead of deferring them

Cause: a deferred flow returns 200 ms later, into a queue that is as full as before, and misses its objective.

Change: a new flow is reset as not run at its first opening packet if all candidates are at their limits. Retransmitted opening packets are not limited, since an earlier copy may have been forwarded. The deferral, its outcomes and the reason service_busy are gone.

--- a/include/sassafrasknot/flows/bulk_admission.hpp
+++ b/include/sassafrasknot/flows/bulk_admission.hpp
@@ -48,8 +48,7 @@
   std::unordered_map<state::FlowKey, BulkFlow> mFlows;
   /// Sizes by service address; at most one per route of the configuration.
   std::map<state::Endpoint, BulkSize> mSizes;
-  /// When an opening packet of a flow was last deferred, by the link or by an
-  /// overloaded service (AdmitToService).
+  /// When an opening packet of a flow was last deferred.
   std::unordered_map<state::FlowKey, state::TimePoint> mDeferred;
   /// Sum of mQueuedBytes of all flows.
   double mQueuedBytes = 0;
@@ -87,8 +86,6 @@
 /// delay objective has more than 3 Gbit/s.
 constexpr std::size_t kMaxBulkFlows = 1024;
 constexpr std::size_t kMaxDeferredFlows = 1024;
-/// Number of earlier copies of a caller's last opening packet.
-constexpr std::uint32_t kLastRetransmission = 2;
 /// Time constant of the averages of forwarded bytes.
 constexpr std::chrono::milliseconds kLinkRateTimeConstant{ 250 };
 /// Below this utilisation the link is at low load. Less than half, since what
@@ -130,16 +127,6 @@
               const CallerPacket& aPacket,
               state::TimePoint aNow);
 
-/// @brief Remembers that an opening packet was deferred, unless the table is
-/// full.
-/// @param aAdmission the state
-/// @param aFlow the flow
-/// @param aNow current time on the steady clock
-void
-RecordDeferral(BulkAdmission& aAdmission,
-               const state::FlowKey& aFlow,
-               state::TimePoint aNow);
-
 /// @brief Returns how long a packet is expected to wait in the link's queue
 /// because of open uploads.
 /// @param aAdmission the state
--- a/include/sassafrasknot/flows/capacity_admission.hpp
+++ b/include/sassafrasknot/flows/capacity_admission.hpp
@@ -1,8 +1,6 @@
 #ifndef SASSAFRASKNOT_FLOWS_CAPACITY_ADMISSION_HPP
 #define SASSAFRASKNOT_FLOWS_CAPACITY_ADMISSION_HPP
 
-#include "sassafrasknot/flows/bulk_admission.hpp"
-#include "sassafrasknot/flows/packet.hpp"
 #include "sassafrasknot/flows/routing.hpp"
 #include "sassafrasknot/flows/upstream.hpp"
 #include "sassafrasknot/state/time.hpp"
@@ -40,11 +38,6 @@
   std::uint32_t mUrgentPriority = 0;
   /// Upstreams with a limit, as of the last tick.
   std::size_t mLimitedUpstreams = 0;
-  /// Opening packets that were and were not admitted; older ones count less, by
-  /// kOutcomeMemory.
-  double mAdmitted = 0;
-  double mNotAdmitted = 0;
-  state::TimePoint mOutcomesAt;
 };
 
 /// @brief State of the admission of new flows to overloaded services. Not safe
@@ -74,14 +67,6 @@
 /// A limit is removed this long after the last rejection, so that it does not
 /// outlast the load.
 constexpr std::chrono::seconds kLimitRetention{ 2 };
-/// Time constant of the outcomes of opening packets: the time until a caller's
-/// first retransmission.
-constexpr std::chrono::milliseconds kOutcomeMemory{ 200 };
-/// Share of opening packets that are admitted below which flows are refused at
-/// once: a deferred one would more likely wait in vain than be served.
-constexpr double kMinAdmittedShare = 0.5;
-/// Fewer recent outcomes say nothing about that share.
-constexpr double kMinOutcomes = 4;
 /// Share of a limit that flows of other than the most urgent priority may use,
 /// but at least one request.
 constexpr double kOtherPriorityShare = 0.75;
@@ -135,35 +120,6 @@
             PriorityClass aClass,
             state::TimePoint aNow);
 
-/// @brief What is done with the opening packet of a flow.
-enum class ServiceVerdict : std::uint8_t
-{
-  Admit,
-  Defer,  ///< Discarded: the caller retransmits it.
-  Refuse, ///< The caller will not retransmit it: it is reset.
-};
-
-/// @brief Decides on the opening packet of a flow without an entry, and
-/// remembers a deferred one for its last retransmission. While most opening
-/// packets of the service are not admitted, a first one is refused at once, so
-/// that its caller does not wait for capacity that it will hardly get.
-/// @param aService the service, whose outcomes are updated
-/// @param aBulk state with the table of deferred flows
-/// @param aPacket the opening packet
-/// @param aHasCapacity whether a candidate has capacity for the flow
-/// @param aWasDeferred whether an earlier copy was deferred by this instance
-/// @param aNow current time on the steady clock
-/// @return Refuse only for a first opening packet, or if an earlier copy was
-/// deferred here; otherwise another instance may have forwarded one, so that
-/// the flow may exist
-ServiceVerdict
-AdmitToService(ServiceCapacity& aService,
-               BulkAdmission& aBulk,
-               const CallerPacket& aPacket,
-               bool aHasCapacity,
-               bool aWasDeferred,
-               state::TimePoint aNow);
-
 /// @brief Removes the limits of upstreams without recent rejections, and counts
 /// the remaining ones by service. To be called on ticks.
 /// @param aAdmission the state
--- a/include/sassafrasknot/flows/configuration_check.hpp
+++ b/include/sassafrasknot/flows/configuration_check.hpp
@@ -54,8 +54,8 @@
 /// are.
 /// @param aInForce configuration in force
 /// @param aNew configuration that replaces it
-/// @return the changes of routes, health paths, limits of cold upstreams and the
-/// idle timeout
+/// @return the changes of routes, health paths, limits of cold upstreams and
+/// the idle timeout
 std::vector<ConfigurationChange>
 CompareConfigurations(const Configuration& aInForce, const Configuration& aNew);
 
--- a/include/sassafrasknot/flows/flow_router.hpp
+++ b/include/sassafrasknot/flows/flow_router.hpp
@@ -58,13 +58,11 @@
   Deferred,    ///< The link has no capacity for a new upload; the caller
                ///< retransmits its opening packet.
   LinkFull,    ///< The same, at the caller's last retransmission.
-  ServiceBusy, ///< All upstreams are at their limits; the caller retransmits
-               ///< its opening packet.
-  ServiceFull, ///< The same, at the caller's last retransmission.
+  ServiceFull, ///< All upstreams are at their limits.
 };
 
 /// @brief Number of reasons.
-constexpr std::size_t kReasonCount = 16;
+constexpr std::size_t kReasonCount = 15;
 
 /// @brief Returns the name of a reason as it stands in logs and metrics.
 /// @param aReason reason of a decision
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -199,8 +199,7 @@
     fields.emplace_back("queue_ms", std::to_string(delay.count()));
     fields.emplace_back("uploads", std::to_string(mRouter.mBulk.mSendingFlows));
   }
-  if (aDecision.mReason == flows::Reason::ServiceBusy ||
-      aDecision.mReason == flows::Reason::ServiceFull) {
+  if (aDecision.mReason == flows::Reason::ServiceFull) {
     AddServiceFields(mRouter, aPacket.mFlow.mService, fields);
   }
   mLog->Write("flow_" + std::string(ToString(aDecision.mReason)), fields);
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -54,7 +54,7 @@
       return false;
     case Reason::Placed:
     case Reason::Deferred:
-    case Reason::ServiceBusy:
+    case Reason::ServiceFull:
       return state::Hash(aPacket.mFlow) % kLogOneFlowIn == 0;
     default:
       return true;
--- a/src/sassafrasknot/flows/bulk_admission.cpp
+++ b/src/sassafrasknot/flows/bulk_admission.cpp
@@ -7,6 +7,8 @@
 
 using Seconds = std::chrono::duration<double>;
 
+/// A caller's last retransmission of an opening packet.
+constexpr std::uint32_t kLastRetransmission = 2;
 /// Weight of the newest sample of a route's mean size, once there are several.
 constexpr double kMinSampleWeight = 1.0 / 16;
 /// Bytes on the link for each byte of payload of a full packet.
@@ -143,7 +145,9 @@
         aAdmission.mDeferred.erase(aPacket.mFlow) > 0) {
       return BulkVerdict::Refuse;
     }
-    RecordDeferral(aAdmission, aPacket.mFlow, aNow);
+    if (aAdmission.mDeferred.size() < kMaxDeferredFlows) {
+      aAdmission.mDeferred[aPacket.mFlow] = aNow;
+    }
     return BulkVerdict::Defer;
   }
   aAdmission.mDeferred.erase(aPacket.mFlow);
@@ -159,16 +163,6 @@
   return BulkVerdict::Admit;
 }
 
-void
-RecordDeferral(BulkAdmission& aAdmission,
-               const state::FlowKey& aFlow,
-               state::TimePoint aNow)
-{
-  if (aAdmission.mDeferred.size() < kMaxDeferredFlows) {
-    aAdmission.mDeferred[aFlow] = aNow;
-  }
-}
-
 state::Duration
 ExpectedQueueDelay(const BulkAdmission& aAdmission, const LinkMonitor& aLink)
 {
--- a/src/sassafrasknot/flows/capacity_admission.cpp
+++ b/src/sassafrasknot/flows/capacity_admission.cpp
@@ -3,7 +3,6 @@
 #include "sassafrasknot/flows/upstream_table.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sassafrasknot::flows {
 namespace {
@@ -23,30 +22,6 @@
   return aNow - aLimit.mLastRejection > kLimitRetention;
 }
 
-/// Records whether an opening packet was admitted.
-void
-RecordOutcome(ServiceCapacity& aService,
-              bool aIsAdmitted,
-              state::TimePoint aNow)
-{
-  const double factor =
-    std::exp(-std::chrono::duration<double>(aNow - aService.mOutcomesAt) /
-             kOutcomeMemory);
-  aService.mAdmitted *= factor;
-  aService.mNotAdmitted *= factor;
-  aService.mOutcomesAt = aNow;
-  (aIsAdmitted ? aService.mAdmitted : aService.mNotAdmitted) += 1;
-}
-
-/// Returns whether a deferred flow is more likely to be served than not.
-bool
-IsDeferralUseful(const ServiceCapacity& aService)
-{
-  const double outcomes = aService.mAdmitted + aService.mNotAdmitted;
-  return outcomes < kMinOutcomes ||
-         aService.mAdmitted >= kMinAdmittedShare * outcomes;
-}
-
 } // namespace
 
 void
@@ -122,29 +97,6 @@
          aRecord.mOwnLoad.mActiveRequests < LimitOf(*limit.mOwnLimit, aClass);
 }
 
-ServiceVerdict
-AdmitToService(ServiceCapacity& aService,
-               BulkAdmission& aBulk,
-               const CallerPacket& aPacket,
-               bool aHasCapacity,
-               bool aWasDeferred,
-               state::TimePoint aNow)
-{
-  RecordOutcome(aService, aHasCapacity, aNow);
-  if (aHasCapacity) {
-    aBulk.mDeferred.erase(aPacket.mFlow);
-    return ServiceVerdict::Admit;
-  }
-  const bool isFirst = aPacket.mRetransmissions == 0;
-  const bool isLast = aPacket.mRetransmissions >= kLastRetransmission;
-  if ((isFirst || aWasDeferred) && (isLast || !IsDeferralUseful(aService))) {
-    aBulk.mDeferred.erase(aPacket.mFlow);
-    return ServiceVerdict::Refuse;
-  }
-  RecordDeferral(aBulk, aPacket.mFlow, aNow);
-  return ServiceVerdict::Defer;
-}
-
 void
 UpdateCapacity(CapacityAdmission& aAdmission,
                UpstreamTable& aTable,
--- a/src/sassafrasknot/flows/configuration_check.cpp
+++ b/src/sassafrasknot/flows/configuration_check.cpp
@@ -186,8 +186,8 @@
   aComparison.AddChanged(location + "/priority",
                          std::to_string(aOld.mPriority),
                          std::to_string(aNew.mPriority),
-                         "decides which new flows an overloaded service "
-                         "defers or refuses first; open flows continue");
+                         "decides which new flows of an overloaded service "
+                         "are refused first; open flows continue");
 }
 
 /// Adds the changes of the routes.
--- a/src/sassafrasknot/flows/flow_router.cpp
+++ b/src/sassafrasknot/flows/flow_router.cpp
@@ -75,7 +75,7 @@
     "placed",   "replaced",      "repeated",        "established",
     "unrouted", "not_ready",     "no_route",        "no_upstream",
     "no_token", "unknown_token", "upstream_silent", "evacuated",
-    "deferred", "link_full",     "service_busy",    "service_full"
+    "deferred", "link_full",     "service_full"
   };
   return names[static_cast<std::size_t>(aReason)];
 }
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -147,20 +147,6 @@
     PacketAction::Reset, Reason::LinkFull, state::Verdict::NotRun);
 }
 
-/// Returns the decision on an opening packet for which no upstream has
-/// capacity.
-Decision
-RefuseByService(ServiceVerdict aVerdict)
-{
-  return aVerdict == ServiceVerdict::Defer
-           ? MakeRefusal(PacketAction::Discard,
-                         Reason::ServiceBusy,
-                         state::Verdict::NotRun)
-           : MakeRefusal(PacketAction::Reset,
-                         Reason::ServiceFull,
-                         state::Verdict::NotRun);
-}
-
 /// Chooses an upstream for a new or reassigned flow and replaces the flow's
 /// entry. The upstream aAvoid is chosen only if there is no other.
 Decision
@@ -170,12 +156,12 @@
           UpstreamToken aAvoid,
           state::TimePoint aNow)
 {
+  // A retransmitted or duplicated opening packet is not limited: an earlier
+  // copy may have been forwarded, so that the flow may exist at an upstream.
   const auto found = aRouter.mFlows.find(aPacket.mFlow);
-  // A copy of an opening packet that was forwarded is not limited: its flow may
-  // exist at the upstream.
-  const bool isLimited = aAvoid == kNoToken && (found == aRouter.mFlows.end() ||
-                                                found->second.mEstablished);
-  const bool wasDeferred = aRouter.mBulk.mDeferred.contains(aPacket.mFlow);
+  const bool isLimited =
+    aPacket.mRetransmissions == 0 &&
+    (found == aRouter.mFlows.end() || found->second.mEstablished);
   if (aAvoid == kNoToken) {
     if (auto refusal = RefuseWithoutCapacity(aRouter, aPacket, aRoute, aNow)) {
       return *refusal;
@@ -185,16 +171,10 @@
   auto choice = ChoiceReason::OnlyOne;
   auto* record =
     ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, isLimited, choice, aNow);
-  if (isLimited) {
-    const bool hasCapacity = choice != ChoiceReason::NoCapacity;
-    auto& service =
-      aRouter.mCapacity.mServices[ChooseService(aRoute, aPacket.mFlow)];
-    const auto verdict = AdmitToService(
-      service, aRouter.mBulk, aPacket, hasCapacity, wasDeferred, aNow);
-    if (verdict != ServiceVerdict::Admit) {
-      RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
-      return RefuseByService(verdict);
-    }
+  if (choice == ChoiceReason::NoCapacity) {
+    RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
+    return MakeRefusal(
+      PacketAction::Reset, Reason::ServiceFull, state::Verdict::NotRun);
   }
   if (record == nullptr) {
     RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
