Refuse new flows only while most of a service's have no capacity

Cause: a limit tells that an upstream rejects some requests, not all. At 1.4 times the capacity most flows without capacity are still served.

Change: a flow without capacity is refused while more than half of the service's new flows of the last 200 ms had none. Otherwise it is placed as without limits.

Tests: RefusesOnlyWhileMostFlowsHaveNoCapacity; the fixture of the others now stands for an overloaded service.

--- a/include/sassafrasknot/flows/capacity_admission.hpp
+++ b/include/sassafrasknot/flows/capacity_admission.hpp
@@ -38,6 +38,11 @@
   std::uint32_t mUrgentPriority = 0;
   /// Upstreams with a limit, as of the last tick.
   std::size_t mLimitedUpstreams = 0;
+  /// New flows with and without capacity for them; older ones count less, by
+  /// kOutcomeMemory.
+  double mWithCapacity = 0;
+  double mWithoutCapacity = 0;
+  state::TimePoint mOutcomesAt;
 };
 
 /// @brief State of the admission of new flows to overloaded services. Not safe
@@ -67,6 +72,14 @@
 /// A limit is removed this long after the last rejection, so that it does not
 /// outlast the load.
 constexpr std::chrono::seconds kLimitRetention{ 2 };
+/// Time constant of the numbers of new flows with and without capacity: several
+/// times the delay with which limits follow the load.
+constexpr std::chrono::milliseconds kOutcomeMemory{ 200 };
+/// Share of new flows without capacity above which they are refused. Below it,
+/// their chance in an upstream's queue is better than even.
+constexpr double kOverloadedShare = 0.5;
+/// Fewer recent flows say nothing about that share.
+constexpr double kMinOutcomes = 4;
 /// Share of a limit that flows of other than the most urgent priority may use,
 /// but at least one request.
 constexpr double kOtherPriorityShare = 0.75;
@@ -120,6 +133,17 @@
             PriorityClass aClass,
             state::TimePoint aNow);
 
+/// @brief Records whether there was capacity for a new flow.
+/// @param aService the flow's service
+/// @param aHasCapacity whether a candidate had capacity for it
+/// @param aNow current time on the steady clock
+/// @return whether the service is overloaded, so that a flow without capacity
+/// is refused: most new flows found no capacity
+bool
+RecordCapacityOutcome(ServiceCapacity& aService,
+                      bool aHasCapacity,
+                      state::TimePoint aNow);
+
 /// @brief Removes the limits of upstreams without recent rejections, and counts
 /// the remaining ones by service. To be called on ticks.
 /// @param aAdmission the state
--- a/src/sassafrasknot/flows/capacity_admission.cpp
+++ b/src/sassafrasknot/flows/capacity_admission.cpp
@@ -3,6 +3,7 @@
 #include "sassafrasknot/flows/upstream_table.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafrasknot::flows {
 namespace {
@@ -97,6 +98,23 @@
          aRecord.mOwnLoad.mActiveRequests < LimitOf(*limit.mOwnLimit, aClass);
 }
 
+bool
+RecordCapacityOutcome(ServiceCapacity& aService,
+                      bool aHasCapacity,
+                      state::TimePoint aNow)
+{
+  const double factor =
+    std::exp(-std::chrono::duration<double>(aNow - aService.mOutcomesAt) /
+             kOutcomeMemory);
+  aService.mWithCapacity *= factor;
+  aService.mWithoutCapacity *= factor;
+  aService.mOutcomesAt = aNow;
+  (aHasCapacity ? aService.mWithCapacity : aService.mWithoutCapacity) += 1;
+  const double outcomes = aService.mWithCapacity + aService.mWithoutCapacity;
+  return outcomes >= kMinOutcomes &&
+         aService.mWithoutCapacity > kOverloadedShare * outcomes;
+}
+
 void
 UpdateCapacity(CapacityAdmission& aAdmission,
                UpstreamTable& aTable,
--- a/src/sassafrasknot/flows/capacity_admission_test.cpp
+++ b/src/sassafrasknot/flows/capacity_admission_test.cpp
@@ -29,13 +29,17 @@
     return *FindUpstream(mRouter.mUpstreams, TokenOf(aId));
   }
 
-  /// Rejections while the given number of requests is active at each upstream.
+  /// Rejections while the given number of requests is active at each upstream,
+  /// and a service in which most new flows find no capacity.
   void Reject(std::uint32_t aActive, milliseconds aTime)
   {
     for (const auto* id : { "i-1", "i-2" }) {
       Record(id).mOwnLoad.mActiveRequests = aActive;
       RecordRejection(mRouter.mCapacity, Record(id), At(aTime));
     }
+    auto& service = mRouter.mCapacity.mServices["scheduling"];
+    service.mWithoutCapacity = 1000;
+    service.mOutcomesAt = At(aTime);
   }
 };
 
@@ -110,6 +114,28 @@
   EXPECT_EQ(fixture.mRouter.mFlows.size(), 1U);
 }
 
+// Guards against refusals in a moderate overload, in which most flows that find
+// no capacity are still served from an upstream's queue.
+TEST(CapacityAdmission, RefusesOnlyWhileMostFlowsHaveNoCapacity)
+{
+  ServiceCapacity service;
+  EXPECT_FALSE(RecordCapacityOutcome(service, false, At(milliseconds(0))))
+    << "a single flow";
+  bool isOverloaded = false;
+  for (int flow = 0; flow < 20; ++flow) {
+    isOverloaded =
+      RecordCapacityOutcome(service, flow % 3 != 0, At(milliseconds(flow)));
+  }
+  EXPECT_FALSE(isOverloaded);
+  for (int flow = 20; flow < 60; ++flow) {
+    isOverloaded =
+      RecordCapacityOutcome(service, flow % 4 == 0, At(milliseconds(flow)));
+  }
+  EXPECT_TRUE(isOverloaded);
+  EXPECT_FALSE(RecordCapacityOutcome(service, false, At(milliseconds(2000))))
+    << "outcomes of two seconds ago";
+}
+
 // Guards against "not run" for a flow that another instance may have placed,
 // here or elsewhere: a copy of its opening packet is never refused.
 TEST(CapacityAdmission, NoResetOfAFlowThatMayExist)
--- a/src/sassafrasknot/flows/router_placement.cpp
+++ b/src/sassafrasknot/flows/router_placement.cpp
@@ -171,10 +171,20 @@
   auto choice = ChoiceReason::OnlyOne;
   auto* record =
     ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, isLimited, choice, aNow);
-  if (choice == ChoiceReason::NoCapacity) {
-    RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
-    return MakeRefusal(
-      PacketAction::Reset, Reason::ServiceFull, state::Verdict::NotRun);
+  if (isLimited) {
+    const bool hasCapacity = choice != ChoiceReason::NoCapacity;
+    auto& service =
+      aRouter.mCapacity.mServices[ChooseService(aRoute, aPacket.mFlow)];
+    const bool isOverloaded = RecordCapacityOutcome(service, hasCapacity, aNow);
+    if (!hasCapacity && isOverloaded) {
+      RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
+      return MakeRefusal(
+        PacketAction::Reset, Reason::ServiceFull, state::Verdict::NotRun);
+    }
+    if (!hasCapacity) {
+      record =
+        ChooseForFlow(aRouter, aPacket, aRoute, aAvoid, false, choice, aNow);
+    }
   }
   if (record == nullptr) {
     RemoveBulkFlow(aRouter.mBulk, aPacket.mFlow);
