--- a/review/stand_ins_2/run-deployment.sh
+++ b/review/stand_ins_2/run-deployment.sh
@@ -74,5 +74,6 @@
 mv "$folder/starting" "$folder/instances.txt"
 wait "$stand_ins_pid"
 status=$?
+pids=("${pids[@]:1}")
 [ -z "${KEEP_LOGS:-}" ] || cp "$folder"/*.log "$KEEP_LOGS"
 exit "$status"
