--- a/review/stand_ins_2/deployment.cpp
+++ b/review/stand_ins_2/deployment.cpp
@@ -1,7 +1,7 @@
 // Stand-ins of the platform for the review's scripts: the store, the routers,
 // the targets and the clients of a small deployment whose instances run as
 // separate processes. Events of a scenario come from a file. The program checks
-// the rule DRAIN on what its targets receive.
+// the rules DRAIN and ROUTE on what its targets receive.
 //
 //   deployment NETWORK FOLDER SCENARIO RECORD
 //
@@ -55,7 +55,8 @@
 constexpr std::uint16_t kReadinessPort = 8167;
 constexpr std::uint16_t kStorePort = 8169;
 constexpr std::uint16_t kTargetPort = 9000;
-constexpr std::uint32_t kRouteAddress = 0xC6120001; // 198.18.0.1
+constexpr std::uint32_t kDeskRoute = 0xC6120001;   // 198.18.0.1
+constexpr std::uint32_t kIntakeRoute = 0xC6120002; // 198.18.0.2
 constexpr std::uint16_t kRoutePort = 8443;
 
 // Figures of the users' pages.
@@ -466,6 +467,7 @@
 struct Request
 {
   std::string mId;
+  std::string mService;
   std::string mZone;
   Clock::time_point mSent;
   std::string mOutcome = "unanswered";
@@ -489,6 +491,7 @@
   struct Target
   {
     std::string mId;
+    std::string mService;
     std::string mZone;
     asio::ip::address_v4 mAddress;
     std::uint64_t mLabel = 0;
@@ -503,6 +506,7 @@
       std::uint32_t mSequence = 0;
       std::uint32_t mExpected = 0;
       std::uint32_t mEcho = 0;
+      std::uint32_t mRoute = 0;
       bool mIsOpen = false;
       bool mHasRun = false;
       bool mIsAcknowledged = false;
@@ -515,6 +519,7 @@
   struct ClientFlow
   {
     FlowName mName;
+    std::uint32_t mRoute = kDeskRoute;
     std::size_t mRequest = 0;
     std::uint32_t mSequence = 0;
     std::uint32_t mExpected = 0;
@@ -541,8 +546,13 @@
     std::vector<std::string> mArguments;
   };
 
-  void AddTarget(std::size_t aNumber, const std::string& aZone);
+  void AddTarget(std::size_t aNumber,
+                 const std::string& aService,
+                 const std::string& aZone);
   void Publish(const Target& aTarget);
+  /// Writes an entry under the id of a target, as another writer does: it lacks
+  /// `born` and names the other service.
+  void PublishForeign(const Target& aTarget);
   void PublishConfiguration();
   void OnTargetPacket(Target& aTarget,
                       const udp::endpoint& aFrom,
@@ -553,7 +563,7 @@
   void SendFromTarget(Target& aTarget, const FlowName& aName, Packet aPacket);
   void SendAnswer(Target& aTarget, const FlowName& aName, int aRetransmission);
 
-  void StartRequest(Zone& aZone);
+  void StartRequest(Zone& aZone, const std::string& aService);
   void SendFromClient(Zone& aZone, const ClientFlow& aFlow, Packet aPacket);
   void SendData(Zone& aZone,
                 const std::shared_ptr<ClientFlow>& aFlow,
@@ -590,6 +600,7 @@
   bool mHasStarted = false;
   Clock::time_point mZero = Clock::now();
   long mViolations = 0;
+  std::uint64_t mTrafficRounds = 0;
 };
 
 Deployment::Deployment(std::uint8_t aNetwork,
@@ -633,9 +644,12 @@
     for (int instance = 1; instance <= 2; ++instance) {
       mStore.Listen(name + std::to_string(instance),
                     { MakeAddress(mNetwork, 5, ++number), kStorePort });
-      AddTarget(number, name);
+      AddTarget(number, "desk", name);
     }
   }
+  for (const auto& zone : mZones) {
+    AddTarget(++number, "intake", zone->mName);
+  }
   PublishConfiguration();
 }
 
@@ -658,15 +672,22 @@
   mStore.Put("op/config",
              R"({"version":7,"routes":[{"name":"r-1","host":"198.18.0.1",)"
              R"("prefix":"/8443/","type":"non_idempotent","timeout_ms":1200,)"
-             R"("aim_ms":120,"priority":1,"backend":"desk","attempts":2}],)"
+             R"("aim_ms":120,"priority":1,"backend":"desk","attempts":2},)"
+             R"({"name":"r-2","host":"198.18.0.2",)"
+             R"("prefix":"/8443/","type":"non_idempotent","timeout_ms":1200,)"
+             R"("aim_ms":120,"priority":1,"backend":"intake","attempts":2}],)"
              R"("backends":[{"name":"desk","health_check_path":"/health",)"
+             R"("max_connections":2000,"protocol":"h1","tls":false},)"
+             R"({"name":"intake","health_check_path":"/health",)"
              R"("max_connections":2000,"protocol":"h1","tls":false}],)"
              R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
              R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
 }
 
 void
-Deployment::AddTarget(std::size_t aNumber, const std::string& aZone)
+Deployment::AddTarget(std::size_t aNumber,
+                      const std::string& aService,
+                      const std::string& aZone)
 {
   auto target = std::make_unique<Target>();
   std::array<char, 16> label{};
@@ -677,6 +698,7 @@
                 "%08llx",
                 static_cast<unsigned long long>(target->mLabel));
   target->mId = std::string("i-") + label.data();
+  target->mService = aService;
   target->mZone = aZone;
   target->mBorn = UnixMilliseconds();
   target->mAddress = MakeAddress(mNetwork, 4, aNumber);
@@ -701,20 +723,35 @@
 Deployment::Publish(const Target& aTarget)
 {
   mStore.Put("servers/" + aTarget.mId,
-             R"({"backend":"desk","address":")" + aTarget.mAddress.to_string() +
-               ":" + std::to_string(kTargetPort) + R"(","zone":")" +
-               aTarget.mZone + R"(","version":"v1","concurrency":2,"state":")" +
+             R"({"backend":")" + aTarget.mService + R"(","address":")" +
+               aTarget.mAddress.to_string() + ":" +
+               std::to_string(kTargetPort) + R"(","zone":")" + aTarget.mZone +
+               R"(","version":"v1","concurrency":2,"state":")" +
                (aTarget.mDraining ? "draining" : "ready") +
                R"(","warmup_left_ms":0,"seq":4,"born":)" +
                std::to_string(aTarget.mBorn) + "}");
 }
 
+void
+Deployment::PublishForeign(const Target& aTarget)
+{
+  mStore.Put("servers/" + aTarget.mId,
+             R"({"backend":"intake","address":")" +
+               aTarget.mAddress.to_string() + ":" +
+               std::to_string(kTargetPort) + R"(","zone":")" + aTarget.mZone +
+               R"(","version":"v1","concurrency":2,"state":"ready",)"
+               R"("warmup_left_ms":0,"seq":4})");
+}
+
 void
 Deployment::SendFromTarget(Target& aTarget,
                            const FlowName& aName,
                            Packet aPacket)
 {
-  aPacket.mSource = kRouteAddress;
+  if (const auto found = aTarget.mFlows.find(aName);
+      found != aTarget.mFlows.end()) {
+    aPacket.mSource = found->second.mRoute;
+  }
   aPacket.mSourcePort = kRoutePort;
   aPacket.mDestination = aName.first;
   aPacket.mDestinationPort = aName.second;
@@ -745,6 +782,7 @@
     if (isNew) {
       flow.mSequence = static_cast<std::uint32_t>(mRandom());
       flow.mExpected = packet.mSequence + 1;
+      flow.mRoute = packet.mDestination;
       flow.mOpeningArrived = Clock::now();
       flow.mVia = aFrom.address().to_string();
     }
@@ -760,8 +798,9 @@
   const auto found = aTarget.mFlows.find(name);
   if (found == aTarget.mFlows.end()) {
     if ((packet.mFlags & (kRst | kFin)) == 0) {
-      SendFromTarget(
-        aTarget, name, { packet.mAcknowledged, 0, kRst, packet.mEcho });
+      Packet reset{ packet.mAcknowledged, 0, kRst, packet.mEcho };
+      reset.mSource = packet.mDestination;
+      SendFromTarget(aTarget, name, std::move(reset));
     }
     return;
   }
@@ -814,6 +853,12 @@
     return aItem->mAddress.to_string() == flow.mVia;
   });
   request.mVia = via == mInstances.end() ? flow.mVia : (*via)->mName;
+  if (request.mService != aTarget.mService) {
+    ++mViolations;
+    Log("ROUTE: request " + request.mId + " of the route to " +
+        request.mService + " is run by " + aTarget.mId + " of " +
+        aTarget.mService + ", through " + request.mVia);
+  }
   if (aTarget.mDraining) {
     const auto after = std::chrono::duration_cast<milliseconds>(
       flow.mOpeningArrived - aTarget.mDrainAcknowledged);
@@ -865,14 +910,16 @@
 }
 
 void
-Deployment::StartRequest(Zone& aZone)
+Deployment::StartRequest(Zone& aZone, const std::string& aService)
 {
   auto flow = std::make_shared<ClientFlow>();
   flow->mName = { aZone.mAddress.to_uint(), aZone.mNextPort++ };
+  flow->mRoute = aService == "desk" ? kDeskRoute : kIntakeRoute;
   flow->mRequest = mRequests.size();
   flow->mSequence = static_cast<std::uint32_t>(mRandom());
   Request request;
   request.mId = std::to_string(mRequests.size());
+  request.mService = aService;
   request.mZone = aZone.mName;
   request.mSent = Clock::now();
   flow->mData = "POST /confirm HTTP/1.1\r\nRequest-Id: " + request.mId +
@@ -914,7 +961,7 @@
 {
   aPacket.mSource = aFlow.mName.first;
   aPacket.mSourcePort = aFlow.mName.second;
-  aPacket.mDestination = kRouteAddress;
+  aPacket.mDestination = aFlow.mRoute;
   aPacket.mDestinationPort = kRoutePort;
   aPacket.mSum = 1;
   std::vector<const Instance*> receivers;
@@ -1169,7 +1216,11 @@
       kill(instance->mProcess, SIGCONT);
     } else {
       auto& target = *mTargets.at(std::stoul(argument) - 1);
-      if (aAction.mKind == "drain") {
+      if (aAction.mKind == "foreign") {
+        PublishForeign(target);
+      } else if (aAction.mKind == "beat") {
+        Publish(target);
+      } else if (aAction.mKind == "drain") {
         target.mDraining = true;
         Publish(target);
         target.mDrainAcknowledged = Clock::now();
@@ -1188,8 +1239,10 @@
 Deployment::Traffic()
 {
   constexpr milliseconds kInterval{ 30 };
+  // One request in four is of the service "intake".
+  const bool isIntake = ++mTrafficRounds % 4 == 0;
   for (const auto& zone : mZones) {
-    StartRequest(*zone);
+    StartRequest(*zone, isIntake ? "intake" : "desk");
   }
   RunAfter(mContext, kInterval, [this] { Traffic(); });
 }
@@ -1213,11 +1266,11 @@
     if (mZero - request.mSent > std::chrono::seconds(1)) {
       continue;
     }
-    mRecord << "request " << request.mId << " of zone " << request.mZone
-            << " sent at " << MillisecondsOf(request.mSent)
-            << " ms: " << request.mOutcome << "; run at "
-            << (request.mRunAt.empty() ? "none" : request.mRunAt) << " through "
-            << (request.mVia.empty() ? "none" : request.mVia);
+    mRecord << "request " << request.mId << " to " << request.mService
+            << " of zone " << request.mZone << " sent at "
+            << MillisecondsOf(request.mSent) << " ms: " << request.mOutcome
+            << "; run at " << (request.mRunAt.empty() ? "none" : request.mRunAt)
+            << " through " << (request.mVia.empty() ? "none" : request.mVia);
     if (request.mAfterDrain >= 0) {
       mRecord << ", " << request.mAfterDrain
               << " ms after the acknowledgement of its drain";
@@ -1231,7 +1284,7 @@
     summary << outcome << " " << count << ", ";
   }
   summary << "started at the draining target and never answered " << lost
-          << "; broken DRAIN: " << mViolations;
+          << "; rule broken: " << mViolations;
   mRecord << summary.str() << '\n';
   std::cout << summary.str() << '\n';
   constexpr long kMinAnswered = 200;
