--- a/include/sassafrasknot/edge/metrics.hpp
+++ b/include/sassafrasknot/edge/metrics.hpp
@@ -112,6 +112,9 @@
   /// Time since the store last confirmed the known revision, observed once per
   /// second.
   LatencyHistogram mConfirmedAge;
+  /// Upper bound of the time for which a message of another instance waited in
+  /// the receive queue.
+  LatencyHistogram mMessageWait;
 };
 
 /// @brief Adds one to a counter, in relaxed memory order.
--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -208,24 +208,35 @@
 FleetActions
 OnTick(FleetCore& aCore, state::TimePoint aNow);
 
-/// @brief Handles a message of another instance.
+/// A report that an upstream is unresponsive is ignored if its message may have
+/// waited for longer than this before it was processed: the upstream may have
+/// answered since. A peer repeats its reports in each message.
+constexpr std::chrono::milliseconds kMaxReportWait{ 500 };
+
+/// @brief Handles a message of another instance. All that the message says is
+/// dated by its arrival, so that messages which waited while this instance was
+/// stopped do not seem new.
 /// @param aMessage received message
+/// @param aMaxWait upper bound of the time since the arrival of the message
 /// @param aNow current time on the steady clock
 /// @return actions to execute
 FleetActions
 OnMessage(FleetCore& aCore,
           const FleetMessage& aMessage,
+          state::Duration aMaxWait,
           state::TimePoint aNow);
 
 /// @brief Handles the store's response to a read.
 /// @param aRead read that the response belongs to
 /// @param aChanges content of the response
+/// @param aMaxWait upper bound of the time since the arrival of the response
 /// @param aNow current time on the steady clock
 /// @return actions to execute
 FleetActions
 OnStoreResponse(FleetCore& aCore,
                 const StoreRead& aRead,
                 const ChangeSet& aChanges,
+                state::Duration aMaxWait,
                 state::TimePoint aNow);
 
 /// @brief Handles the failure of a read.
--- a/include/sassafrasknot/fleet/peers.hpp
+++ b/include/sassafrasknot/fleet/peers.hpp
@@ -71,10 +71,12 @@
 /// the last contact.
 /// @param aPeers members to update
 /// @param aMember sender of the message
-/// @param aNow current time on the steady clock
+/// @param aContactedAt when the message arrived, or a time before
 /// @return whether the member is new, has restarted or counted as dead
 bool
-RecordContact(Peers& aPeers, const Member& aMember, state::TimePoint aNow);
+RecordContact(Peers& aPeers,
+              const Member& aMember,
+              state::TimePoint aContactedAt);
 
 /// @brief Records gossip: what another instance has reported of a member. It is
 /// ignored unless it is newer than the last contact.
--- a/include/sassafrasknot/fleet/store_reader.hpp
+++ b/include/sassafrasknot/fleet/store_reader.hpp
@@ -102,7 +102,8 @@
          state::Revision aRevision,
          state::TimePoint aNow);
 
-/// @brief Records the response to a call.
+/// @brief Records that a call has got its response. If the response shows that
+/// this instance's revision is the newest, RecordConfirmation has to follow.
 /// @param aReader state of the calls
 /// @param aRead call that the response belongs to
 /// @param aChanged whether the response contains changes
@@ -125,10 +126,11 @@
                   std::minstd_rand& aRandom,
                   state::TimePoint aNow);
 
-/// @brief Records that another instance has the same revision as this one and
-/// when the store confirmed it. Older confirmations are ignored.
+/// @brief Records when the store confirmed this instance's revision as its
+/// newest, by a response to this or another instance. Older confirmations are
+/// ignored.
 /// @param aReader state of the calls
-/// @param aAge time since the store confirmed the revision
+/// @param aAge upper bound of the time since the store confirmed the revision
 /// @param aNow current time on the steady clock
 void
 RecordConfirmation(StoreReader& aReader,
--- a/include/sassafrasknot/net/http_client.hpp
+++ b/include/sassafrasknot/net/http_client.hpp
@@ -3,6 +3,7 @@
 
 #include "sassafrasknot/state/endpoint.hpp"
 #include "sassafrasknot/state/error.hpp"
+#include "sassafrasknot/state/time.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -26,6 +27,9 @@
   std::chrono::milliseconds mResponseTimeout{ 5000 };
   /// Upper limit of the response body, in bytes; longer ones fail the call.
   std::size_t mMaxBodyBytes = std::size_t{ 64 } << 20U;
+  /// Interval at which the call checks that no byte of the response is waiting
+  /// to be read, for HttpResponse::mArrivedAfter; 0 for no checks.
+  std::chrono::milliseconds mArrivalCheckInterval{ 0 };
 };
 
 /// @brief A complete response of any status.
@@ -33,6 +37,10 @@
 {
   unsigned mStatus = 0;
   std::string mBody;
+  /// The first byte arrived after this time: that of the last check without
+  /// one, or of the start of the call. It may have waited since then, for
+  /// example while the process was stopped.
+  state::TimePoint mArrivedAfter{};
 };
 
 /// @brief Receives the response; or DeadlineExceeded after a time limit; or
--- a/include/sassafrasknot/net/udp_socket.hpp
+++ b/include/sassafrasknot/net/udp_socket.hpp
@@ -3,6 +3,7 @@
 
 #include "sassafrasknot/state/endpoint.hpp"
 #include "sassafrasknot/state/error.hpp"
+#include "sassafrasknot/state/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -58,6 +59,17 @@
   /// @param aHandler called on the thread of the context until Close
   void StartReceiving(Handler aHandler);
 
+  /// @brief Handles datagrams that are in the receive queue, without waiting
+  /// for further ones. Must be called on the thread of the context, and not
+  /// from within the handler.
+  void HandleQueued();
+
+  /// @brief Returns when the receive queue was last found empty. A datagram
+  /// that is being handled arrived later; it may have waited since then, for
+  /// example while the process was stopped.
+  /// @return time on the clock of Now
+  state::TimePoint QueueEmptyAt() const;
+
   /// @brief Sends a datagram without waiting.
   /// @param aTo receiver
   /// @param aDatagram payload of the datagram
@@ -83,11 +95,11 @@
 
 private:
   void WaitReadable();
-  void ReceiveBatch();
 
   boost::asio::ip::udp::socket mSocket;
   Handler mHandler;
   std::vector<std::uint8_t> mBuffer;
+  state::TimePoint mQueueEmptyAt;
 };
 
 } // namespace sassafrasknot::net
--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -1,12 +1,11 @@
 #include "sassafrasknot/edge/control_loop.hpp"
+#include "sassafrasknot/net/clock.hpp"
 
 #include <utility>
 
 namespace sassafrasknot::edge {
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 } // namespace
 
 void
@@ -18,7 +17,7 @@
     if (const auto found = records.find(key); found != records.end()) {
       ApplyRecord(found->second);
     } else if (const auto id = mFormats.mStore.mUpstreamIdOf(key)) {
-      flows::RemoveUpstream(mDirectoryBuilder, *id, Clock::now());
+      flows::RemoveUpstream(mDirectoryBuilder, *id, net::Now());
       mLog->Write(
         "upstream_lapsed",
         { { "upstream", *id },
@@ -41,7 +40,7 @@
                   { "revision", revision },
                   { "reason", content.error().mMessage } });
     if (const auto id = mFormats.mStore.mUpstreamIdOf(aRecord.mKey)) {
-      flows::RemoveUpstream(mDirectoryBuilder, *id, Clock::now());
+      flows::RemoveUpstream(mDirectoryBuilder, *id, net::Now());
     }
     return;
   }
--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/edge/control_loop.hpp"
 #include "sassafrasknot/messages/fleet_codec.hpp"
+#include "sassafrasknot/net/clock.hpp"
 
 #include <charconv>
 #include <system_error>
@@ -10,8 +11,6 @@
 namespace sassafrasknot::edge {
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 } // namespace
 
 net::HttpServerResponse
@@ -92,7 +91,7 @@
 net::HttpServerResponse
 ControlLoop::ServeMetrics() const
 {
-  const auto now = Clock::now();
+  const auto now = net::Now();
   const auto seconds = [](state::Duration aDuration) {
     return std::chrono::duration<double>(aDuration).count();
   };
@@ -141,7 +140,7 @@
 std::string
 ControlLoop::FormatDump() const
 {
-  const auto now = Clock::now();
+  const auto now = net::Now();
   std::string text = "instance " + mSettings.mInstance + "\nrevision " +
                      std::to_string(mCore.mCatalogue.mRevision) + "\nready " +
                      (IsReady() ? "yes" : "no") + "\nreader_rank " +
--- a/src/sassafrasknot/edge/control_loop.cpp
+++ b/src/sassafrasknot/edge/control_loop.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/edge/control_loop.hpp"
 
 #include "sassafrasknot/messages/fleet_codec.hpp"
+#include "sassafrasknot/net/clock.hpp"
 #include "sassafrasknot/net/http_client.hpp"
 #include "sassafrasknot/state/hashing.hpp"
 
@@ -14,7 +15,6 @@
 namespace sassafrasknot::edge {
 namespace {
 
-using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
 /// Interval of the control thread's regular work.
@@ -176,7 +176,11 @@
 void
 ControlLoop::Tick()
 {
-  const auto now = Clock::now();
+  if (net::Now() - mFleetSocket->QueueEmptyAt() >= kTickInterval) {
+    // Messages are handled as they arrive; this only shows that none waits.
+    mFleetSocket->HandleQueued();
+  }
+  const auto now = net::Now();
   Execute(fleet::OnTick(mCore, now));
   if (flows::RemoveExpired(mDirectoryBuilder, now)) {
     mDirectoryOutdated = true;
@@ -256,7 +260,7 @@
   if (mStopStarted) {
     return;
   }
-  mStopStarted = Clock::now();
+  mStopStarted = net::Now();
   mCore.mPeers.mSelf.mLeaving = true;
   mLog->Write("stop_begins",
               { { "instance", mSettings.mInstance },
@@ -362,7 +366,18 @@
     return;
   }
   mPeerLoadsChanged = mPeerLoadsChanged || message.value().mLoads.has_value();
-  Execute(fleet::OnMessage(mCore, message.value(), Clock::now()));
+  const auto now = net::Now();
+  const auto maxWait = now - mFleetSocket->QueueEmptyAt();
+  Observe(mMetrics->mMessageWait, maxWait);
+  if (maxWait > fleet::kMaxReportWait) {
+    mLog->Write(
+      "message_waited",
+      { { "peer", ToString(message.value().mSender.mEndpoint) },
+        { "max_wait_ms",
+          std::to_string(
+            std::chrono::duration_cast<milliseconds>(maxWait).count()) } });
+  }
+  Execute(fleet::OnMessage(mCore, message.value(), maxWait, now));
   PublishDirectory();
 }
 
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -68,6 +68,9 @@
   /// Performs the sends, pulls and reads that the fleet core has decided on.
   void Execute(const fleet::FleetActions& aActions);
   void StartRead(const fleet::StoreRead& aRead);
+  /// Logs a read that this instance makes although it is not the designated
+  /// reader.
+  void LogTakeOver();
   /// Starts the probes of upstreams that are due.
   void ProbeUpstreams(state::TimePoint aNow);
   void StartProbe(const flows::Upstream& aUpstream);
--- a/src/sassafrasknot/edge/control_requests.cpp
+++ b/src/sassafrasknot/edge/control_requests.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/edge/control_loop.hpp"
 #include "sassafrasknot/messages/fleet_codec.hpp"
+#include "sassafrasknot/net/clock.hpp"
 #include "sassafrasknot/net/http_client.hpp"
 
 #include <algorithm>
@@ -8,7 +9,6 @@
 namespace sassafrasknot::edge {
 namespace {
 
-using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
 /// Time limit of pulls: requests to another instance, in this or another data
@@ -28,26 +28,44 @@
   StoreClientSettings settings;
   settings.mEndpoint = mSettings.mStoreEndpoint;
   settings.mMaxResponseBytes = mSettings.mMaxStoreResponseBytes;
+  if (!mCore.mReader.mIsDesignatedReader && mCore.mReader.mEverConfirmed) {
+    LogTakeOver();
+  }
   StartStoreRead(
     mContext.get_executor(),
     settings,
     mFormats.mStore,
     mMetrics,
     aRead,
-    { [this, aRead](const fleet::ChangeSet& aChanges) {
+    { [this, aRead](const fleet::ChangeSet& aChanges, auto aArrivedAfter) {
        UpdateStoreReachability(true, "");
-       Execute(fleet::OnStoreResponse(mCore, aRead, aChanges, Clock::now()));
+       const auto now = net::Now();
+       Execute(fleet::OnStoreResponse(
+         mCore, aRead, aChanges, now - aArrivedAfter, now));
        PublishDirectory();
-       Execute(fleet::OnTick(mCore, Clock::now()));
+       Execute(fleet::OnTick(mCore, net::Now()));
      },
       [this](const StoreFailure& aFailure) {
         UpdateStoreReachability(aFailure.mKind ==
                                   fleet::ReadFailure::HistoryCompacted,
                                 aFailure.mMessage);
-        fleet::OnStoreFailure(mCore, aFailure.mKind, Clock::now());
+        fleet::OnStoreFailure(mCore, aFailure.mKind, net::Now());
       } });
 }
 
+void
+ControlLoop::LogTakeOver()
+{
+  const auto now = net::Now();
+  const auto age =
+    std::chrono::duration_cast<milliseconds>(now - mCore.mReader.mConfirmedAt);
+  mLog->Write(
+    "read_takes_over",
+    { { "reader_rank", std::to_string(fleet::ReaderRank(mCore.mPeers, now)) },
+      { "confirmed_age_ms", std::to_string(age.count()) },
+      { "revision", std::to_string(mCore.mCatalogue.mRevision) } });
+}
+
 void
 ControlLoop::UpdateStoreReachability(bool aReachable,
                                      const std::string& aReason)
@@ -89,7 +107,7 @@
   const auto& paths = mDirectoryBuilder.mConfiguration->mHealthPaths;
   const auto path = paths.find(aUpstream.mService);
   const auto token = flows::TokenOf(aUpstream.mId);
-  const auto sent = Clock::now();
+  const auto sent = net::Now();
   Increment(mMetrics->mProbes);
   // A response of any status proves that the upstream is reachable. Probes
   // check only this, not whether the upstream reports itself as healthy.
@@ -100,7 +118,7 @@
                   kProbeTimeout,
                   kMaxProbeResponseBytes },
                 [this, token, sent, id = aUpstream.mId](const auto& aResponse) {
-                  fleet::RecordProbeEnd(mProbeSchedule, token, Clock::now());
+                  fleet::RecordProbeEnd(mProbeSchedule, token, net::Now());
                   if (!aResponse) {
                     Increment(mMetrics->mProbeFailures);
                     mLog->Write("probe_failed",
--- a/src/sassafrasknot/edge/metrics.cpp
+++ b/src/sassafrasknot/edge/metrics.cpp
@@ -234,6 +234,11 @@
                  "Time since the store last confirmed the known revision, "
                  "observed each second.",
                  aMetrics.mConfirmedAge);
+  WriteHistogram(out,
+                 "message_wait_seconds",
+                 "Upper bound of the time for which messages of other "
+                 "instances waited to be processed.",
+                 aMetrics.mMessageWait);
   for (const auto& gauge : aGauges) {
     WriteHeader(out, gauge.mName, gauge.mHelp, "gauge");
     out << kPrefix << gauge.mName << ' ' << gauge.mValue << '\n';
--- a/src/sassafrasknot/edge/store_client.cpp
+++ b/src/sassafrasknot/edge/store_client.cpp
@@ -1,5 +1,6 @@
 #include "sassafrasknot/edge/store_client.hpp"
 
+#include "sassafrasknot/net/clock.hpp"
 #include "sassafrasknot/net/http_client.hpp"
 
 #include <iterator>
@@ -8,8 +9,6 @@
 namespace sassafrasknot::edge {
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 constexpr unsigned kOk = 200;
 
 /// One read. It keeps itself alive until one of its handlers has been called.
@@ -34,13 +33,14 @@
   void ReadPage(const std::string& aAfterKey)
   {
     Increment(mMetrics->mStoreCalls);
-    mStarted = Clock::now();
+    mStarted = net::Now();
     net::StartGet(mExecutor,
                   { mSettings.mEndpoint,
                     mFormat.mMakeTarget(mRead, aAfterKey),
                     mSettings.mConnectTimeout,
                     mSettings.mResponseTimeout + mRead.mWait,
-                    mSettings.mMaxResponseBytes },
+                    mSettings.mMaxResponseBytes,
+                    mSettings.mArrivalCheckInterval },
                   [self = shared_from_this()](auto aResponse) {
                     self->OnResponse(std::move(aResponse));
                   });
@@ -74,23 +74,24 @@
     }
     // Watches wait for changes; their duration does not show the store's speed.
     if (mRead.mWait <= std::chrono::milliseconds(1)) {
-      Observe(mMetrics->mStoreCallTime, Clock::now() - mStarted);
+      Observe(mMetrics->mStoreCallTime, net::Now() - mStarted);
     }
     auto page = mFormat.mDecodePage(mRead, response.mBody);
     if (!page) {
       Fail(fleet::ReadFailure::Malformed, page.error().mMessage);
       return;
     }
-    OnPage(std::move(page).value());
+    OnPage(std::move(page).value(), response.mArrivedAfter);
   }
 
-  void OnPage(StorePage aPage)
+  void OnPage(StorePage aPage, state::TimePoint aArrivedAfter)
   {
     // Pages are read at different revisions. The result has the revision of the
     // first page, so that a watch from it returns all changes made meanwhile.
     if (mChanges.mUpTo == 0) {
       mChanges.mAfter = mRead.mFull ? 0 : mRead.mAfter;
       mChanges.mUpTo = aPage.mRevision;
+      mArrivedAfter = aArrivedAfter;
     }
     const std::string last =
       aPage.mRecords.empty() ? "" : aPage.mRecords.back().mKey;
@@ -99,7 +100,7 @@
       ReadPage(last);
       return;
     }
-    mHandlers.mOnSuccess(std::move(mChanges));
+    mHandlers.mOnSuccess(std::move(mChanges), mArrivedAfter);
   }
 
   boost::asio::any_io_executor mExecutor;
@@ -108,8 +109,10 @@
   std::shared_ptr<Metrics> mMetrics;
   fleet::StoreRead mRead;
   StoreHandlers mHandlers;
-  Clock::time_point mStarted;
+  state::TimePoint mStarted;
   fleet::ChangeSet mChanges;
+  /// Of the first page, whose revision the result has.
+  state::TimePoint mArrivedAfter;
 };
 
 } // namespace
--- a/src/sassafrasknot/edge/store_client.hpp
+++ b/src/sassafrasknot/edge/store_client.hpp
@@ -27,6 +27,9 @@
   std::chrono::milliseconds mResponseTimeout{ 600 };
   /// Upper limit of a response body, in bytes.
   std::uint64_t mMaxResponseBytes = std::uint64_t{ 4 } << 20U;
+  /// How much older than in truth the store's state may seem (see
+  /// StoreHandlers): a small part of the time between two watches.
+  std::chrono::milliseconds mArrivalCheckInterval{ 50 };
 };
 
 /// A failed read.
@@ -39,7 +42,8 @@
 /// Handlers of a read.
 struct StoreHandlers
 {
-  std::function<void(fleet::ChangeSet)> mOnSuccess;
+  /// Receives the changes, and a time before which the store did not send them.
+  std::function<void(fleet::ChangeSet, state::TimePoint)> mOnSuccess;
   std::function<void(StoreFailure)> mOnFailure;
 };
 
--- a/src/sassafrasknot/edge/traffic_log.cpp
+++ b/src/sassafrasknot/edge/traffic_log.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/edge/traffic_log.hpp"
 
 #include "sassafrasknot/edge/traffic_loop.hpp"
+#include "sassafrasknot/net/clock.hpp"
 
 #include <chrono>
 #include <cmath>
@@ -208,7 +209,7 @@
 void
 TrafficLoop::LogLivenessChanges()
 {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = net::Now();
   for (const auto& change : std::exchange(mRouter.mLivenessChanges, {})) {
     const bool isResponsive = change.mLiveness == flows::Liveness::Responsive;
     Increment(isResponsive ? mMetrics->mDetectedRecoveries
--- a/src/sassafrasknot/edge/traffic_loop.cpp
+++ b/src/sassafrasknot/edge/traffic_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "sassafrasknot/edge/traffic_log.hpp"
 #include "sassafrasknot/edge/traffic_report.hpp"
+#include "sassafrasknot/net/clock.hpp"
 #include "sassafrasknot/state/hashing.hpp"
 
 #include <utility>
@@ -11,7 +12,6 @@
 namespace sassafrasknot::edge {
 namespace {
 
-using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
 /// Interval at which unanswered opens are looked for and reports are sent to
@@ -123,7 +123,7 @@
 {
   boost::asio::post(
     mContext, [this, directory = std::move(aDirectory)]() mutable {
-      flows::OnDirectory(mRouter, std::move(directory), Clock::now());
+      flows::OnDirectory(mRouter, std::move(directory), net::Now());
       ReleaseHeld();
     });
 }
@@ -140,7 +140,7 @@
 TrafficLoop::SetPeerLoads(PeerLoadUpdate aUpdate)
 {
   boost::asio::post(mContext, [this, update = std::move(aUpdate)] {
-    flows::OnPosition(mRouter, update.mPosition, Clock::now());
+    flows::OnPosition(mRouter, update.mPosition, net::Now());
     flows::SetPeerLoads(
       mRouter.mUpstreams, update.mLoads, update.mMeanUtilisations);
   });
@@ -151,7 +151,7 @@
   std::map<flows::UpstreamToken, flows::SharedSpeed> aSpeeds)
 {
   boost::asio::post(mContext, [this, speeds = std::move(aSpeeds)] {
-    flows::SetSharedSpeeds(mRouter.mUpstreams, speeds, Clock::now());
+    flows::SetSharedSpeeds(mRouter.mUpstreams, speeds, net::Now());
   });
 }
 
@@ -159,7 +159,7 @@
 TrafficLoop::SetFleetView(flows::FleetView aView)
 {
   boost::asio::post(mContext, [this, view = std::move(aView)]() mutable {
-    flows::OnFleetView(mRouter, std::move(view), Clock::now());
+    flows::OnFleetView(mRouter, std::move(view), net::Now());
   });
 }
 
@@ -167,7 +167,7 @@
 TrafficLoop::ApplyUnresponsiveReports(std::set<flows::UpstreamToken> aTokens)
 {
   boost::asio::post(mContext, [this, tokens = std::move(aTokens)] {
-    flows::OnReportedUnresponsive(mRouter, tokens, Clock::now());
+    flows::OnReportedUnresponsive(mRouter, tokens, net::Now());
     HandleLivenessChanges();
   });
 }
@@ -188,7 +188,7 @@
 TrafficLoop::RequestUpstreamDump(std::function<void(std::string)> aHandler)
 {
   boost::asio::post(mContext, [this, handler = std::move(aHandler)] {
-    handler(FormatUpstreams(mRouter, Clock::now()));
+    handler(FormatUpstreams(mRouter, net::Now()));
   });
 }
 
@@ -207,7 +207,7 @@
 void
 TrafficLoop::Tick()
 {
-  const auto now = Clock::now();
+  const auto now = net::Now();
   flows::OnTick(mRouter, now);
   HandleLivenessChanges();
   if (now >= mNextReport) {
@@ -255,7 +255,7 @@
 void
 TrafficLoop::OnDatagram(std::span<std::uint8_t> aDatagram)
 {
-  mLastPacket = Clock::now();
+  mLastPacket = net::Now();
   const auto packet = mFormat.mDecode(aDatagram);
   if (!packet) {
     Increment(mMetrics->mMalformedPackets);
--- a/src/sassafrasknot/fleet/cold_limit_test.cpp
+++ b/src/sassafrasknot/fleet/cold_limit_test.cpp
@@ -51,6 +51,7 @@
   flows::UpstreamTable mTable;
   flows::ColdPlacement mPlacement;
   std::deque<FleetMessage> mInbox;
+  milliseconds mLastRun{ 0 };
   milliseconds mPausedUntil{ 0 };
   milliseconds mNextView{ 0 };
   /// Instances of different groups are not in contact.
@@ -255,11 +256,15 @@
       PlaceFlows(aEndpoint, aInstance, aNow);
     }
     while (!aInstance.mInbox.empty()) {
-      Send(OnMessage(aInstance.mCore, aInstance.mInbox.front(), At(aNow)),
+      Send(OnMessage(aInstance.mCore,
+                     aInstance.mInbox.front(),
+                     aNow - aInstance.mLastRun,
+                     At(aNow)),
            aInstance,
            aNow);
       aInstance.mInbox.pop_front();
     }
+    aInstance.mLastRun = aNow;
     Send(OnTick(aInstance.mCore, At(aNow)), aInstance, aNow);
     if (aNow >= aInstance.mNextView) {
       aInstance.mNextView = aNow + kViewInterval;
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -197,6 +197,7 @@
 HandleRevision(FleetCore& aCore,
                FleetActions& aActions,
                const FleetMessage& aMessage,
+               state::Duration aMaxWait,
                state::TimePoint aNow)
 {
   const auto& sender = aMessage.mSender;
@@ -220,7 +221,7 @@
   }
   if (aMessage.mRevision == revision && revision != 0 &&
       aMessage.mConfirmedAge) {
-    RecordConfirmation(aCore.mReader, *aMessage.mConfirmedAge, aNow);
+    RecordConfirmation(aCore.mReader, *aMessage.mConfirmedAge + aMaxWait, aNow);
   }
 }
 
@@ -301,16 +302,20 @@
 }
 
 FleetActions
-OnMessage(FleetCore& aCore, const FleetMessage& aMessage, state::TimePoint aNow)
+OnMessage(FleetCore& aCore,
+          const FleetMessage& aMessage,
+          state::Duration aMaxWait,
+          state::TimePoint aNow)
 {
   FleetActions actions;
   const auto& sender = aMessage.mSender;
   if (sender.mEndpoint == aCore.mPeers.mSelf.mEndpoint) {
     return actions;
   }
-  const bool isNewOrRevived = RecordContact(aCore.mPeers, sender, aNow);
-  for (const auto& gossip : aMessage.mMembers) {
-    RecordGossip(aCore.mPeers, gossip.mMember, gossip.mContactAge, aNow);
+  const auto arrivedAfter = aNow - aMaxWait;
+  const bool isNewOrRevived = RecordContact(aCore.mPeers, sender, arrivedAfter);
+  for (const auto& [member, contactAge] : aMessage.mMembers) {
+    RecordGossip(aCore.mPeers, member, contactAge + aMaxWait, aNow);
   }
   if (isNewOrRevived) {
     actions.mJoined.push_back(sender);
@@ -322,14 +327,16 @@
       aCore.mNextSpeeds = aNow;
     }
   }
-  UpdateLoads(aCore, aMessage, aNow);
+  UpdateLoads(aCore, aMessage, arrivedAfter);
   for (const auto& [token, probeAge] : aMessage.mReachable) {
     auto& probeSentAt = aCore.mReportedReachable[token];
-    probeSentAt = std::max(probeSentAt, aNow - probeAge);
+    probeSentAt = std::max(probeSentAt, arrivedAfter - probeAge);
   }
-  aCore.mReportedUnresponsive.insert(aMessage.mUnresponsive.begin(),
-                                     aMessage.mUnresponsive.end());
-  HandleRevision(aCore, actions, aMessage, aNow);
+  if (aMaxWait <= kMaxReportWait) {
+    aCore.mReportedUnresponsive.insert(aMessage.mUnresponsive.begin(),
+                                       aMessage.mUnresponsive.end());
+  }
+  HandleRevision(aCore, actions, aMessage, aMaxWait, aNow);
   return actions;
 }
 
@@ -337,12 +344,18 @@
 OnStoreResponse(FleetCore& aCore,
                 const StoreRead& aRead,
                 const ChangeSet& aChanges,
+                state::Duration aMaxWait,
                 state::TimePoint aNow)
 {
   FleetActions actions;
   const auto before = aCore.mCatalogue.mRevision;
   ApplyChanges(aCore, actions, aChanges);
   RecordRead(aCore.mReader, aRead, !aChanges.mRecords.empty(), aNow);
+  // Other instances may have sent newer changes meanwhile, which this response
+  // does not confirm.
+  if (aChanges.mUpTo == aCore.mCatalogue.mRevision) {
+    RecordConfirmation(aCore.mReader, aMaxWait, aNow);
+  }
   aCore.mPeers.mSelf.mStoreUnreachable = false;
   if (!actions.mChangedKeys.empty() && before != 0) {
     PropagateChanges(aCore, actions, before, true, aNow);
--- a/src/sassafrasknot/fleet/fleet_core_test.cpp
+++ b/src/sassafrasknot/fleet/fleet_core_test.cpp
@@ -26,6 +26,11 @@
     FleetCore mCore;
     bool mRunning = true;
     bool mReachesStore = true;
+    /// Whether the process is stopped. Messages wait in its receive queue.
+    bool mFrozen = false;
+    std::vector<FleetMessage> mQueue{};
+    /// When the receive queue was last empty.
+    state::TimePoint mQueueEmptyAt{};
     /// Number of calls to the store that have got a response.
     int mReads = 0;
     /// Call to the store without response yet, and the end of its wait.
@@ -59,7 +64,11 @@
         const auto found = mNodes.find(receiver);
         if (found != mNodes.end() && found->second.mRunning) {
           auto& node = found->second;
-          Execute(node, OnMessage(node.mCore, message, mNow));
+          if (node.mFrozen) {
+            node.mQueue.push_back(message);
+          } else {
+            Execute(node, OnMessage(node.mCore, message, {}, mNow));
+          }
         }
       }
     }
@@ -77,6 +86,15 @@
     }
   }
 
+  void HandleQueued(Node& aNode)
+  {
+    for (const auto& message : std::exchange(aNode.mQueue, {})) {
+      const auto maxWait = mNow - aNode.mQueueEmptyAt;
+      Execute(aNode, OnMessage(aNode.mCore, message, maxWait, mNow));
+    }
+    aNode.mQueueEmptyAt = mNow;
+  }
+
   /// Lets the store respond to an instance's call, if it is due: at once if
   /// there are changes, otherwise at the end of the wait. Without a connection
   /// to the store the call fails at its timeout.
@@ -104,7 +122,7 @@
     if (hasChanges) {
       changes.mRecords.push_back({ "op", "value", mStoreRevision, 1, false });
     }
-    Execute(aNode, OnStoreResponse(aNode.mCore, read, changes, mNow));
+    Execute(aNode, OnStoreResponse(aNode.mCore, read, changes, {}, mNow));
   }
 
   void Run(milliseconds aFor)
@@ -112,7 +130,8 @@
     const auto end = mNow + aFor;
     for (; mNow < end; mNow += milliseconds(25)) {
       for (auto& [endpoint, node] : mNodes) {
-        if (node.mRunning) {
+        if (node.mRunning && !node.mFrozen) {
+          HandleQueued(node);
           Execute(node, OnTick(node.mCore, mNow));
           RespondToRead(node);
         }
@@ -225,6 +244,168 @@
   EXPECT_EQ(fleet.CountBehind(), 0U);
 }
 
+// Guards against late drains and configurations (review case 6): an instance
+// wakes from a freeze and takes the confirmations in its receive queue for new
+// ones. It passes them on, and all instances postpone their own reads, while
+// the store turns the designated reader and others away.
+TEST(FleetCore, MessagesThatWaitedDoNotPostponeReads)
+{
+  auto fleet = MakeFleet(3);
+  fleet.Run(milliseconds(5000));
+  const auto& reader = ReaderOf(fleet);
+  const auto runUntilWatchEnds = [&] {
+    for (const auto reads = reader.mReads; reader.mReads == reads;) {
+      fleet.Run(milliseconds(25));
+    }
+  };
+  runUntilWatchEnds();
+  auto& frozen = fleet.NodeAt(9);
+  frozen.mFrozen = true;
+  runUntilWatchEnds();
+  // Among them are the designated reader and the next one by rank.
+  for (const std::uint32_t address : { 2U, 3U, 5U }) {
+    fleet.NodeAt(address).mReachesStore = false;
+  }
+  ASSERT_FALSE(reader.mReachesStore);
+  fleet.mStoreRevision = 9;
+  fleet.Run(milliseconds(1500));
+  frozen.mFrozen = false;
+  // The bound of the rule DRAIN is 3 s on the smallest deployments.
+  fleet.Run(milliseconds(1400));
+  EXPECT_EQ(fleet.CountBehind(), 0U);
+}
+
+/// An instance with state, and messages of its local peers.
+struct Receiver
+{
+  Receiver()
+  {
+    FleetSettings settings;
+    settings.mSelf = { { { 1 }, 7000 }, { "a" }, 100 };
+    mCore = MakeFleetCore(settings);
+    mCore.mCatalogue.mRevision = 5;
+    OnTick(mCore, At(milliseconds(0)));
+  }
+
+  static FleetMessage MessageFrom(std::uint32_t aPeer)
+  {
+    FleetMessage message;
+    message.mSender = { { { aPeer }, 7000 }, { "a" }, 80 };
+    message.mRevision = 5;
+    return message;
+  }
+
+  const Peer& PeerAt(std::uint32_t aPeer) const
+  {
+    return mCore.mPeers.mPeers.at({ { aPeer }, 7000 });
+  }
+
+  FleetCore mCore;
+};
+
+// Guards against a response of the store that waited while the process was
+// stopped, and that confirms as new a state that is seconds old.
+TEST(FleetCore, AResponseThatWaitedConfirmsAnOldState)
+{
+  Receiver receiver;
+  const StoreRead watch{ false, 5, milliseconds(1000) };
+  const ChangeSet unchanged{ 5, 5, {} };
+  OnStoreResponse(
+    receiver.mCore, watch, unchanged, milliseconds(2500), At(milliseconds(0)));
+  EXPECT_TRUE(receiver.mCore.mReader.mEverConfirmed);
+  EXPECT_EQ(receiver.mCore.mReader.mConfirmedAt, At(milliseconds(-2500)));
+  // A later message with a newer confirmation counts.
+  auto message = Receiver::MessageFrom(2);
+  message.mConfirmedAge = milliseconds(400);
+  OnMessage(receiver.mCore, message, {}, At(milliseconds(0)));
+  EXPECT_EQ(receiver.mCore.mReader.mConfirmedAt, At(milliseconds(-400)));
+}
+
+// Guards against a slow response that confirms a revision which other instances
+// sent while it was being received.
+TEST(FleetCore, AResponseWithAnOlderRevisionConfirmsNothing)
+{
+  Receiver receiver;
+  OnStoreResponse(receiver.mCore,
+                  { true, 0, {} },
+                  { 0, 4, {} },
+                  milliseconds(10),
+                  At(milliseconds(0)));
+  EXPECT_FALSE(receiver.mCore.mReader.mEverConfirmed);
+}
+
+// Guards against a designated reader that is dead and keeps its rank, because
+// its last messages waited while this instance was stopped.
+TEST(FleetCore, MessagesThatWaitedAreNoRecentContact)
+{
+  Receiver receiver;
+  const auto woken = At(milliseconds(2500));
+  OnMessage(
+    receiver.mCore, Receiver::MessageFrom(2), milliseconds(2500), woken);
+  EXPECT_EQ(receiver.PeerAt(2).mLastDirectContact, At(milliseconds(0)));
+  EXPECT_TRUE(IsRepresentative(receiver.mCore.mPeers, woken));
+  OnMessage(receiver.mCore, Receiver::MessageFrom(2), milliseconds(25), woken);
+  EXPECT_FALSE(IsRepresentative(receiver.mCore.mPeers, woken));
+}
+
+// Guards against dead members that an instance revives for the whole fleet,
+// because it dates the gossip that waited in its receive queue by its wake-up.
+TEST(FleetCore, GossipThatWaitedRevivesNoDeadMember)
+{
+  Receiver receiver;
+  auto message = Receiver::MessageFrom(2);
+  const Member dead{ { { 3 }, 7000 }, { "a" }, 90 };
+  message.mMembers = { { dead, milliseconds(1200) } };
+  const auto woken = At(milliseconds(2500));
+  OnMessage(receiver.mCore, message, milliseconds(2500), woken);
+  EXPECT_EQ(receiver.PeerAt(3).mLastContact, At(milliseconds(-1200)));
+  EXPECT_FALSE(IsAlive(receiver.PeerAt(3), woken));
+}
+
+// Guards against open flows that an instance resets after a freeze, because of
+// reports from before it about upstreams that have answered since.
+TEST(FleetCore, IgnoresUnresponsiveReportsThatWaited)
+{
+  Receiver receiver;
+  auto message = Receiver::MessageFrom(2);
+  message.mUnresponsive = { 77 };
+  const auto woken = At(milliseconds(2500));
+  OnMessage(receiver.mCore, message, milliseconds(2500), woken);
+  EXPECT_TRUE(receiver.mCore.mReportedUnresponsive.empty());
+  OnMessage(receiver.mCore, message, kMaxReportWait, woken);
+  EXPECT_EQ(receiver.mCore.mReportedUnresponsive.count(77), 1U);
+}
+
+// Guards against an upstream that failed and counts as reachable, because a
+// probe from before its failure is dated by the end of a freeze.
+TEST(FleetCore, ProbeSuccessesThatWaitedKeepTheirTime)
+{
+  Receiver receiver;
+  auto message = Receiver::MessageFrom(2);
+  message.mReachable = { { 77, milliseconds(100) } };
+  const auto woken = At(milliseconds(2500));
+  OnMessage(receiver.mCore, message, milliseconds(2500), woken);
+  EXPECT_EQ(receiver.mCore.mReportedReachable.at(77), At(milliseconds(-100)));
+}
+
+// Guards against loads of another data centre from before a freeze that replace
+// newer ones which arrived by another path.
+TEST(FleetCore, LoadsThatWaitedDoNotReplaceNewerOnes)
+{
+  Receiver receiver;
+  auto message = Receiver::MessageFrom(2);
+  const auto woken = At(milliseconds(2500));
+  message.mDataCentreLoads = {
+    { { "b" }, milliseconds(300), { { 77, { 1, 1 } } }, {} }
+  };
+  OnMessage(receiver.mCore, message, {}, woken);
+  message.mDataCentreLoads = {
+    { { "b" }, milliseconds(0), { { 77, { 9, 9 } } }, {} }
+  };
+  OnMessage(receiver.mCore, message, milliseconds(2500), woken);
+  EXPECT_EQ(PeerLoads(receiver.mCore).at(77), (flows::UpstreamLoad{ 1, 1 }));
+}
+
 // Guards against instances that lose contact with each other when the seed
 // through which they found each other fails.
 TEST(FleetCore, MembersStayKnownAfterTheSeedFails)
@@ -284,7 +465,7 @@
   for (const auto end = now + kRun; now < end; now += milliseconds(25)) {
     FleetMessage message;
     message.mSender = { { { 4 }, 7000 }, { "b" }, 90 };
-    OnMessage(core, message, now);
+    OnMessage(core, message, {}, now);
     for (const auto& outgoing : OnTick(core, now).mSend) {
       contacts += std::ranges::count(outgoing.mReceivers, seed);
     }
@@ -311,7 +492,7 @@
   message.mSender = lowCapacity;
   message.mRevision = 9;
   message.mMembers = { { capable, milliseconds(20) } };
-  const auto first = OnMessage(core, message, start + milliseconds(60));
+  const auto first = OnMessage(core, message, {}, start + milliseconds(60));
   EXPECT_FALSE(first.mPull);
   EXPECT_TRUE(
     std::ranges::any_of(first.mSend, [&](const OutgoingMessage& aOutgoing) {
@@ -319,7 +500,7 @@
     }));
   message.mSender = capable;
   message.mMembers.clear();
-  EXPECT_EQ(OnMessage(core, message, start + milliseconds(62)).mPull,
+  EXPECT_EQ(OnMessage(core, message, {}, start + milliseconds(62)).mPull,
             (PullRequest{ capable.mEndpoint, 0 }));
 }
 
@@ -336,9 +517,9 @@
   message.mSender = { { { 1 }, 7000 }, { "a" }, 80, false, false, true };
   message.mRevision = 9;
   message.mMembers = { { { { { 2 }, 7000 }, { "a" }, 80 }, {} } };
-  EXPECT_FALSE(OnMessage(core, message, start + milliseconds(100)).mPull);
+  EXPECT_FALSE(OnMessage(core, message, {}, start + milliseconds(100)).mPull);
   EXPECT_TRUE(
-    OnMessage(core, message, start + settings.mPolicy.mLowCapacityPullDelay)
+    OnMessage(core, message, {}, start + settings.mPolicy.mLowCapacityPullDelay)
       .mPull);
 }
 
@@ -354,7 +535,7 @@
   FleetMessage message;
   message.mSender = { { { 1 }, 7000 }, { "a" }, 80, false, false, true };
   message.mRevision = 9;
-  EXPECT_TRUE(OnMessage(core, message, start + milliseconds(10)).mPull);
+  EXPECT_TRUE(OnMessage(core, message, {}, start + milliseconds(10)).mPull);
 }
 
 /// An instance at revision 5 whose peers announce revision 6.
@@ -374,7 +555,7 @@
     FleetMessage message;
     message.mSender = { { { aPeer }, 7000 }, { "a" }, 80 };
     message.mRevision = 6;
-    return OnMessage(mCore, message, At(aTime)).mPull;
+    return OnMessage(mCore, message, {}, At(aTime)).mPull;
   }
 
   FleetCore mCore;
--- a/src/sassafrasknot/fleet/load_exchange_test.cpp
+++ b/src/sassafrasknot/fleet/load_exchange_test.cpp
@@ -98,10 +98,10 @@
   FleetMessage message;
   message.mSender = { EndpointOf(2), { "a" }, 2 };
   message.mLoads = std::vector{ UpstreamLoadEntry{ 77, { 1, 1 } } };
-  OnMessage(core, message, kStart);
+  OnMessage(core, message, {}, kStart);
   EXPECT_EQ(PeerLoads(core).at(77), (flows::UpstreamLoad{ 1, 1 }));
   message.mLoads->clear();
-  OnMessage(core, message, kStart);
+  OnMessage(core, message, {}, kStart);
   EXPECT_TRUE(PeerLoads(core).empty());
 }
 
@@ -122,7 +122,7 @@
   FleetMessage message;
   message.mSender = { EndpointOf(10000), { "b" }, 1 };
   message.mDataCentreLoads = { { { "b" }, {}, {}, 0.75 } };
-  OnMessage(core, message, kStart);
+  OnMessage(core, message, {}, kStart);
   EXPECT_EQ(MeanUtilisations(core).at({ "b" }), 0.75);
 }
 
@@ -160,9 +160,9 @@
   FleetMessage message;
   message.mSender = { EndpointOf(2), { "a" }, 2 };
   message.mReachable = { { 77, milliseconds(450) }, { 78, milliseconds(0) } };
-  OnMessage(core, message, kStart);
+  OnMessage(core, message, {}, kStart);
   message.mReachable = { { 77, milliseconds(480) } };
-  OnMessage(core, message, kStart + milliseconds(20));
+  OnMessage(core, message, {}, kStart + milliseconds(20));
   EXPECT_EQ(core.mReportedReachable.at(77), kStart - milliseconds(450));
   EXPECT_EQ(core.mReportedReachable.at(78), kStart);
 }
@@ -194,7 +194,7 @@
   EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(500)), core.mOwnLoads);
   FleetMessage message;
   message.mSender = { EndpointOf(9), { "a" }, 9 };
-  OnMessage(core, message, kStart + milliseconds(510));
+  OnMessage(core, message, {}, kStart + milliseconds(510));
   EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(600)), withSpeeds);
   EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(700)), core.mOwnLoads);
   EXPECT_EQ(LoadsToNeighbour(core, kStart + milliseconds(1600)), withSpeeds);
@@ -229,8 +229,8 @@
 TEST(LoadExchange, SpeedsCountUntilTheirSenderIsSilent)
 {
   auto core = MakeLargeCore(3, kStart);
-  OnMessage(core, MakeSpeedMessage(2, 50), kStart);
-  OnMessage(core, MakeSpeedMessage(3, 200), kStart);
+  OnMessage(core, MakeSpeedMessage(2, 50), {}, kStart);
+  OnMessage(core, MakeSpeedMessage(3, 200), {}, kStart);
   EXPECT_EQ(SharedSpeeds(core).at(77).mReporters, 2U);
   EXPECT_NEAR(SharedSpeeds(core).at(77).mMeanLog, 0, 1e-9);
   EXPECT_TRUE(PeerLoads(core).empty());
@@ -238,8 +238,10 @@
   for (auto now = kStart; now < kStart + std::chrono::seconds(5);
        now += milliseconds(25)) {
     const auto age = now - kStart;
-    OnMessage(
-      core, MakeSpeedMessage(2, age == std::chrono::seconds(2) ? 60 : 0), now);
+    OnMessage(core,
+              MakeSpeedMessage(2, age == std::chrono::seconds(2) ? 60 : 0),
+              {},
+              now);
     OnTick(core, now);
   }
   EXPECT_TRUE(std::exchange(core.mPeerSpeedsChanged, false));
@@ -259,8 +261,8 @@
 TEST(LoadExchange, IgnoresSpeedsOutOfRange)
 {
   auto core = MakeLargeCore(3, kStart);
-  OnMessage(core, MakeSpeedMessage(2, 19), kStart);
-  OnMessage(core, MakeSpeedMessage(3, 501), kStart);
+  OnMessage(core, MakeSpeedMessage(2, 19), {}, kStart);
+  OnMessage(core, MakeSpeedMessage(3, 501), {}, kStart);
   EXPECT_TRUE(SharedSpeeds(core).empty());
   EXPECT_EQ(core.mIgnoredSpeeds, 2U);
 }
--- a/src/sassafrasknot/fleet/peers.cpp
+++ b/src/sassafrasknot/fleet/peers.cpp
@@ -77,18 +77,24 @@
 } // namespace
 
 bool
-RecordContact(Peers& aPeers, const Member& aMember, state::TimePoint aNow)
+RecordContact(Peers& aPeers,
+              const Member& aMember,
+              state::TimePoint aContactedAt)
 {
   if (aMember.mEndpoint == aPeers.mSelf.mEndpoint) {
     return false;
   }
   auto& peer = aPeers.mPeers[aMember.mEndpoint];
-  if (IsOutdated(peer, aMember, aNow)) {
+  if (IsOutdated(peer, aMember, aContactedAt)) {
     return false;
   }
   const bool isNewOrRevived =
-    peer.mMember.mIncarnation != aMember.mIncarnation || !IsAlive(peer, aNow);
-  peer = { aMember, aNow, aNow };
+    peer.mMember.mIncarnation != aMember.mIncarnation ||
+    !IsAlive(peer, aContactedAt);
+  peer.mMember = aMember;
+  peer.mLastDirectContact = std::max(peer.mLastDirectContact, aContactedAt);
+  peer.mLastContact = std::max(peer.mLastContact, aContactedAt);
+  peer.mIsDeathReported = peer.mIsDeathReported && !isNewOrRevived;
   return isNewOrRevived;
 }
 
@@ -230,7 +236,8 @@
 {
   std::vector<Member> newlyDead;
   for (auto& [endpoint, peer] : aPeers.mPeers) {
-    if (!IsAlive(peer, aNow) && !std::exchange(peer.mIsDeathReported, true)) {
+    const bool isDead = !IsAlive(peer, aNow);
+    if (!std::exchange(peer.mIsDeathReported, isDead) && isDead) {
       newlyDead.push_back(peer.mMember);
     }
   }
--- a/src/sassafrasknot/fleet/store_reader.cpp
+++ b/src/sassafrasknot/fleet/store_reader.cpp
@@ -48,8 +48,6 @@
   if (aRead.mFull) {
     aReader.mNeedsFull = false;
   }
-  aReader.mEverConfirmed = true;
-  aReader.mConfirmedAt = aNow;
   if (!aRead.mFull) {
     aReader.mNextCall = aNow + (aChanged ? aReader.mTiming.mBatchDelay
                                          : aReader.mTiming.mWatchInterval);
--- a/src/sassafrasknot/net/http_client.cpp
+++ b/src/sassafrasknot/net/http_client.cpp
@@ -1,8 +1,11 @@
 #include "sassafrasknot/net/http_client.hpp"
 
+#include "sassafrasknot/net/clock.hpp"
+
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/bind_handler.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,9 +37,12 @@
            const HttpRequest& aRequest,
            HttpResponseHandler aHandler)
     : mStream(aExecutor)
+    , mArrivalTimer(aExecutor)
     , mEndpoint(aRequest.mEndpoint)
     , mConnectTimeout(aRequest.mConnectTimeout)
     , mResponseTimeout(aRequest.mResponseTimeout)
+    , mArrivalCheckInterval(aRequest.mArrivalCheckInterval)
+    , mArrivedAfter(Now())
     , mHandler(std::move(aHandler))
     , mRequest(http::verb::get, aRequest.mTarget, kHttpVersion)
   {
@@ -79,6 +85,9 @@
       Fail(aError, "write");
       return;
     }
+    if (mArrivalCheckInterval.count() > 0) {
+      ScheduleArrivalCheck();
+    }
     http::async_read(
       mStream,
       mBuffer,
@@ -88,6 +97,30 @@
       });
   }
 
+  void ScheduleArrivalCheck()
+  {
+    mArrivalTimer.expires_after(mArrivalCheckInterval);
+    mArrivalTimer.async_wait([self = shared_from_this()](error_code aFailure) {
+      if (!aFailure && self->CheckArrival()) {
+        self->ScheduleArrivalCheck();
+      }
+    });
+  }
+
+  /// Returns whether no byte of the response has arrived, and records the time
+  /// of the check if so.
+  bool CheckArrival()
+  {
+    const auto now = Now();
+    error_code failure;
+    const auto waiting = mStream.socket().available(failure);
+    const bool hasArrived = failure || waiting > 0 || mParser.got_some();
+    if (!hasArrived) {
+      mArrivedAfter = now;
+    }
+    return !hasArrived;
+  }
+
   void OnRead(error_code aError)
   {
     if (aError) {
@@ -95,11 +128,13 @@
       return;
     }
     auto response = mParser.release();
-    Finish(HttpResponse{ response.result_int(), std::move(response.body()) });
+    Finish(HttpResponse{
+      response.result_int(), std::move(response.body()), mArrivedAfter });
   }
 
   void Finish(state::Result<HttpResponse> aResult)
   {
+    mArrivalTimer.cancel();
     error_code ignored; // The connection is closed in any case.
     mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     mStream.close();
@@ -122,9 +157,12 @@
   }
 
   beast::tcp_stream mStream;
+  boost::asio::steady_timer mArrivalTimer;
   state::Endpoint mEndpoint;
   std::chrono::milliseconds mConnectTimeout;
   std::chrono::milliseconds mResponseTimeout;
+  std::chrono::milliseconds mArrivalCheckInterval;
+  state::TimePoint mArrivedAfter;
   HttpResponseHandler mHandler;
   http::request<http::empty_body> mRequest;
   http::response_parser<http::string_body> mParser;
--- a/src/sassafrasknot/net/http_test.cpp
+++ b/src/sassafrasknot/net/http_test.cpp
@@ -1,3 +1,4 @@
+#include "sassafrasknot/net/clock.hpp"
 #include "sassafrasknot/net/http_client.hpp"
 #include "sassafrasknot/net/http_server.hpp"
 
@@ -23,18 +24,20 @@
 
 const state::Ipv4Address kLoopback{ 0x7F000001 };
 
-/// Sends bytes on the first connection, on a thread of its own, and closes it.
+/// Sends bytes on the first connection after a delay, on a thread of its own,
+/// and closes it.
 class RawServer
 {
 public:
-  explicit RawServer(std::string aBytes)
+  explicit RawServer(std::string aBytes, milliseconds aDelay = {})
     : mAcceptor(mContext,
                 tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-    , mThread([this, bytes = std::move(aBytes)] {
+    , mThread([this, bytes = std::move(aBytes), aDelay] {
       boost::system::error_code ignored; // The test checks what is received.
       auto connection = mAcceptor.accept(ignored);
       std::string request(1024, '\0');
       connection.read_some(boost::asio::buffer(request), ignored);
+      std::this_thread::sleep_for(aDelay);
       boost::asio::write(connection, boost::asio::buffer(bytes), ignored);
     })
   {
@@ -103,6 +106,29 @@
   }
 }
 
+// Guards against a response that waited while the process was stopped and seems
+// to have just arrived.
+TEST(HttpClient, TellsHowLongAResponseMayHaveWaited)
+{
+  boost::asio::io_context context;
+  const RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                         milliseconds(120));
+  HttpRequest request{ server.Endpoint(), "/" };
+  request.mArrivalCheckInterval = milliseconds(10);
+  std::optional<state::Result<HttpResponse>> result;
+  StartGet(context.get_executor(), request, [&](auto aResponse) {
+    result = std::move(aResponse);
+  });
+  context.run_for(milliseconds(60));
+  const auto stopped = Now();
+  std::this_thread::sleep_for(milliseconds(200));
+  context.run();
+  ASSERT_TRUE(result && *result);
+  const auto arrivedAfter = result->value().mArrivedAfter;
+  EXPECT_LE(arrivedAfter, stopped);
+  EXPECT_GE(arrivedAfter, stopped - milliseconds(40));
+}
+
 /// Uses up the file descriptors of this process while it exists.
 class NoDescriptors
 {
--- a/src/sassafrasknot/net/udp_socket.cpp
+++ b/src/sassafrasknot/net/udp_socket.cpp
@@ -1,9 +1,12 @@
 #include "sassafrasknot/net/udp_socket.hpp"
 
+#include "sassafrasknot/net/clock.hpp"
+
 #include <array>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <sys/socket.h>
 
@@ -31,6 +34,7 @@
                      std::size_t aMaxDatagramBytes)
   : mSocket(aContext)
   , mBuffer(aMaxDatagramBytes)
+  , mQueueEmptyAt(Now())
 {
 }
 
@@ -123,25 +127,37 @@
   mSocket.async_wait(udp::socket::wait_read,
                      [self = shared_from_this()](auto aFailure) {
                        if (!aFailure && self->mHandler) {
-                         self->ReceiveBatch();
+                         self->HandleQueued();
+                       }
+                       if (!aFailure && self->mHandler) {
+                         self->WaitReadable();
                        }
                      });
 }
 
 void
-UdpSocket::ReceiveBatch()
+UdpSocket::HandleQueued()
 {
   for (int count = 0; count < kMaxDatagramsPerBatch && mHandler; ++count) {
+    // The queue is empty at a time before the call: a datagram may arrive right
+    // after it.
+    const auto now = Now();
     boost::system::error_code failure;
     const auto size = mSocket.receive(boost::asio::buffer(mBuffer), 0, failure);
     if (failure) {
+      if (failure == boost::asio::error::would_block) {
+        mQueueEmptyAt = now;
+      }
       break;
     }
     mHandler(std::span(mBuffer).first(size));
   }
-  if (mHandler) {
-    WaitReadable();
-  }
+}
+
+state::TimePoint
+UdpSocket::QueueEmptyAt() const
+{
+  return mQueueEmptyAt;
 }
 
 } // namespace sassafrasknot::net
--- a/testing/measure/regular_cost.cpp
+++ b/testing/measure/regular_cost.cpp
@@ -183,7 +183,7 @@
       const auto decoded = messages::DecodeMessage(
         { reinterpret_cast<const std::uint8_t*>(aBytes.data()),
           aBytes.size() });
-      fleet::OnMessage(core, decoded.value(), aDeployment.mNow);
+      fleet::OnMessage(core, decoded.value(), {}, aDeployment.mNow);
     };
     // Each neighbour sends every 80 ms, the others every 1,150 ms.
     if (tick % 3 == 0) {
--- a/testing/measure/regular_cost_setup.cpp
+++ b/testing/measure/regular_cost_setup.cpp
@@ -152,6 +152,7 @@
                      MakeNeighbourMessage(deployment,
                                           MakeMember(index),
                                           index % kDataCentres == 0 ? 1 : 0),
+                     {},
                      deployment.mNow);
   }
   const auto groups = fleet::GroupLocalPeers(core.mPeers, deployment.mNow);
@@ -159,6 +160,7 @@
     fleet::OnMessage(
       core,
       MakeNeighbourMessage(deployment, peer->mMember, kLoadsPerNeighbour),
+      {},
       deployment.mNow);
   }
   deployment.mPeerLoads = { fleet::PeerLoads(core),
