Keep ages in fleet messages from shrinking each time they are passed on

An age was rounded down to milliseconds and dated by the arrival of its message, so each transfer made it younger by the time on the link and up to 1 ms. All instances keep the youngest one, and pass it on each 25 ms. Reads are postponed, and dead members stay alive, in the same proportion.

Change: ages are rounded up, and 5 ms for the transfer are added to those that are passed on (confirmations, gossip, loads of data centres). The age of a probe is reported by one instance only and stays as it was.

FleetCodec.AgesAreNeverDecodedAsYounger guards the rounding.

--- a/include/sassafrasknot/fleet/fleet_core.hpp
+++ b/include/sassafrasknot/fleet/fleet_core.hpp
@@ -208,6 +208,13 @@
 FleetActions
 OnTick(FleetCore& aCore, state::TimePoint aNow);
 
+/// Upper bound of the time that a message usually takes from one instance to
+/// another: more than the platform's longest delay between data centres (1.4
+/// ms) and the transmission of a message through its slowest link. It is added
+/// to the ages in a message. Without it they would become younger each time
+/// they are passed on, and an old confirmation would stay recent while
+/// instances pass it to and fro.
+constexpr std::chrono::milliseconds kTransitTime{ 5 };
 /// A report that an upstream is unresponsive is ignored if its message may have
 /// waited for longer than this before it was processed: the upstream may have
 /// answered since. A peer repeats its reports in each message.
--- a/src/sassafrasknot/fleet/fleet_core.cpp
+++ b/src/sassafrasknot/fleet/fleet_core.cpp
@@ -221,7 +221,8 @@
   }
   if (aMessage.mRevision == revision && revision != 0 &&
       aMessage.mConfirmedAge) {
-    RecordConfirmation(aCore.mReader, *aMessage.mConfirmedAge + aMaxWait, aNow);
+    RecordConfirmation(
+      aCore.mReader, *aMessage.mConfirmedAge + kTransitTime + aMaxWait, aNow);
   }
 }
 
@@ -315,7 +316,8 @@
   const auto arrivedAfter = aNow - aMaxWait;
   const bool isNewOrRevived = RecordContact(aCore.mPeers, sender, arrivedAfter);
   for (const auto& [member, contactAge] : aMessage.mMembers) {
-    RecordGossip(aCore.mPeers, member, contactAge + aMaxWait, aNow);
+    RecordGossip(
+      aCore.mPeers, member, contactAge + kTransitTime + aMaxWait, aNow);
   }
   if (isNewOrRevived) {
     actions.mJoined.push_back(sender);
@@ -327,7 +329,7 @@
       aCore.mNextSpeeds = aNow;
     }
   }
-  UpdateLoads(aCore, aMessage, arrivedAfter);
+  UpdateLoads(aCore, aMessage, arrivedAfter - kTransitTime);
   for (const auto& [token, probeAge] : aMessage.mReachable) {
     auto& probeSentAt = aCore.mReportedReachable[token];
     probeSentAt = std::max(probeSentAt, arrivedAfter - probeAge);
--- a/src/sassafrasknot/fleet/load_exchange.cpp
+++ b/src/sassafrasknot/fleet/load_exchange.cpp
@@ -95,9 +95,9 @@
 UpdateSpeeds(FleetCore& aCore,
              const state::Endpoint& aSender,
              const std::vector<UpstreamLoadEntry>& aLoads,
-             state::TimePoint aArrivedAfter)
+             state::TimePoint aSentAfter)
 {
-  PeerSpeeds speeds{ aArrivedAfter, {} };
+  PeerSpeeds speeds{ aSentAfter, {} };
   bool hasSpeeds = false;
   for (const auto& load : aLoads) {
     if (load.mSpeedPercent == 0) {
@@ -254,7 +254,7 @@
 void
 UpdateLoads(FleetCore& aCore,
             const FleetMessage& aMessage,
-            state::TimePoint aArrivedAfter)
+            state::TimePoint aSentAfter)
 {
   if (aMessage.mLoads) {
     const auto& sender = aMessage.mSender.mEndpoint;
@@ -262,13 +262,13 @@
     std::erase_if(loads, [](const auto& aLoad) {
       return aLoad.mLoad == flows::UpstreamLoad{};
     });
-    UpdateSpeeds(aCore, sender, *aMessage.mLoads, aArrivedAfter);
+    UpdateSpeeds(aCore, sender, *aMessage.mLoads, aSentAfter);
     aCore.mPeerProbeCandidates[sender] = aMessage.mProbeCandidates;
   }
   for (const auto& loads : aMessage.mDataCentreLoads) {
     if (loads.mDataCentre != aCore.mPeers.mSelf.mDataCentre) {
       auto& received = aCore.mDataCentreLoads[loads.mDataCentre];
-      if (const auto aggregatedAt = aArrivedAfter - loads.mAge;
+      if (const auto aggregatedAt = aSentAfter - loads.mAge;
           aggregatedAt > received.mAggregatedAt) {
         received = { aggregatedAt, loads };
       }
--- a/src/sassafrasknot/fleet/load_exchange.hpp
+++ b/src/sassafrasknot/fleet/load_exchange.hpp
@@ -51,11 +51,11 @@
 /// @brief Records the loads, speeds and probe candidates of a message.
 /// @param aCore core of the receiving instance
 /// @param aMessage received message
-/// @param aArrivedAfter a time before the arrival of the message
+/// @param aSentAfter a time before the sending of the message
 void
 UpdateLoads(FleetCore& aCore,
             const FleetMessage& aMessage,
-            state::TimePoint aArrivedAfter);
+            state::TimePoint aSentAfter);
 
 /// @brief Removes the loads, speeds and probe candidates of dead instances, the
 /// loads of data centres that were aggregated longer than kDeadTimeout ago, and
--- a/src/sassafrasknot/messages/fleet_codec.cpp
+++ b/src/sassafrasknot/messages/fleet_codec.cpp
@@ -23,14 +23,14 @@
   return { state::ErrorCode::Malformed, state::Verdict::NotRun, aMessage };
 }
 
-/// Returns a duration in milliseconds, limited to what a field holds. The
-/// largest value is left out, since one field contains 1 + the duration.
+/// Returns a duration in milliseconds, rounded up, since an age that is passed
+/// on must not become younger, and limited to what a field holds. The largest
+/// value is left out, since one field contains 1 + the duration.
 std::uint32_t
 ToMilliseconds(state::Duration aDuration)
 {
   constexpr auto kMaxCount = std::numeric_limits<std::uint32_t>::max() - 1;
-  const auto count =
-    std::chrono::duration_cast<milliseconds>(aDuration).count();
+  const auto count = std::chrono::ceil<milliseconds>(aDuration).count();
   return static_cast<std::uint32_t>(
     std::clamp<std::int64_t>(count, 0, std::int64_t{ kMaxCount }));
 }
--- a/src/sassafrasknot/messages/fleet_codec_test.cpp
+++ b/src/sassafrasknot/messages/fleet_codec_test.cpp
@@ -39,6 +39,28 @@
   return message;
 }
 
+// Guards against ages that become younger each time they are passed on, so that
+// an old confirmation or a dead member seems recent.
+TEST(FleetCodec, AgesAreNeverDecodedAsYounger)
+{
+  auto message = MakeMessage();
+  for (const auto age : { std::chrono::microseconds(1),
+                          std::chrono::microseconds(40000),
+                          std::chrono::microseconds(40999) }) {
+    message.mConfirmedAge = age;
+    message.mMembers.front().mContactAge = age;
+    message.mDataCentreLoads.front().mAge = age;
+    message.mReachable.front().mProbeAge = age;
+    const auto decoded = DecodeMessage(Bytes(EncodeMessage(message)));
+    ASSERT_TRUE(decoded);
+    const auto& result = decoded.value();
+    EXPECT_GE(result.mConfirmedAge, message.mConfirmedAge);
+    EXPECT_GE(result.mMembers.front().mContactAge, age);
+    EXPECT_GE(result.mDataCentreLoads.front().mAge, age);
+    EXPECT_GE(result.mReachable.front().mProbeAge, age);
+  }
+}
+
 // Guards against fields that are encoded but not decoded, or the reverse.
 TEST(FleetCodec, DecodingRestoresAMessage)
 {
