Count the time of a suspended machine when dating what is known

The steady clock stands still while a machine is suspended, as the users' pages say of theirs. An instance that was suspended for seconds took its confirmation, its contacts and its loads for as recent as before, and passed them on with those ages; the others postponed their reads of the store, as after a freeze.

Change: all times of an instance come from net::Now, which reads CLOCK_BOOTTIME. A suspension now looks like a freeze to all decisions.

--- a/src/sassafrasknot/net/clock.cpp
+++ b/src/sassafrasknot/net/clock.cpp
@@ -1,11 +1,16 @@
 #include "sassafrasknot/net/clock.hpp"
 
+#include <ctime>
+
 namespace sassafrasknot::net {
 
 state::TimePoint
 Now()
 {
-  return std::chrono::steady_clock::now();
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return state::TimePoint(std::chrono::seconds(time.tv_sec) +
+                          std::chrono::nanoseconds(time.tv_nsec));
 }
 
 } // namespace sassafrasknot::net
