--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -4,9 +4,6 @@
 #include <utility>
 
 namespace sassafrasknot::edge {
-namespace {
-
-} // namespace
 
 void
 ControlLoop::ApplyChangedKeys(const std::vector<std::string>& aKeys)
--- a/src/sassafrasknot/edge/control_http.cpp
+++ b/src/sassafrasknot/edge/control_http.cpp
@@ -9,9 +9,6 @@
 #include <boost/asio/post.hpp>
 
 namespace sassafrasknot::edge {
-namespace {
-
-} // namespace
 
 net::HttpServerResponse
 ControlLoop::ServeReadiness(std::string_view aTarget)
