Refuse entries without a start where the upstream's other entries have one

Cause: a missing start was read as 0, so that the entry counted as that of a restarted upstream.

Change: such an entry is refused if the last entry of the same upstream had a start; for an unknown upstream, if most entries have one. The number is kept with the builder's other totals, so that a deployment without starts pays nothing. A refused entry is handled like a malformed one.

--- a/include/sassafrasknot/flows/directory_builder.hpp
+++ b/include/sassafrasknot/flows/directory_builder.hpp
@@ -5,6 +5,7 @@
 #include "sassafrasknot/state/time.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <set>
@@ -36,6 +37,8 @@
   std::set<std::string> mChanged;
   /// Tokens of all upstreams.
   std::unordered_set<UpstreamToken> mTokens;
+  /// Number of upstreams whose entries state when they started.
+  std::size_t mWithStart = 0;
   /// Whether the next directory must have all upstreams.
   bool mNeedsAll = true;
   /// Whether two ids had the same token at any time. Which of them holds it
@@ -43,6 +46,16 @@
   bool mHasSharedToken = false;
 };
 
+/// @brief Returns whether an entry is from another writer than the upstream
+/// itself: it does not state when the upstream started, although the last entry
+/// of that upstream did. For an unknown upstream, what most entries do decides.
+/// Earlier platforms have no starts in any entry.
+/// @param aBuilder the builder
+/// @param aUpstream the upstream as published
+/// @return whether the entry must not be used
+bool
+IsForeignEntry(const DirectoryBuilder& aBuilder, const Upstream& aUpstream);
+
 /// @brief Adds an upstream or replaces its description. An expired one is
 /// listed again.
 /// @param aBuilder the builder
--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -9,10 +9,20 @@
 ControlLoop::ApplyChangedKeys(const std::vector<std::string>& aKeys)
 {
   const auto& records = mCore.mCatalogue.mRecords;
+  // Whether an entry without a start is from another writer may depend on the
+  // other entries.
+  std::vector<std::pair<flows::Upstream, std::string>> withoutStart;
   for (const auto& key : aKeys) {
     mDirectoryOutdated = true;
     if (const auto found = records.find(key); found != records.end()) {
-      ApplyRecord(found->second);
+      const auto content = mFormats.mStore.mDecodeRecord(found->second);
+      const auto* upstream =
+        content ? std::get_if<flows::Upstream>(&content.value()) : nullptr;
+      if (upstream != nullptr && upstream->mStarted.count() == 0) {
+        withoutStart.emplace_back(*upstream, key);
+      } else {
+        ApplyRecord(found->second, content);
+      }
     } else if (const auto id = mFormats.mStore.mUpstreamIdOf(key)) {
       flows::RemoveUpstream(mDirectoryBuilder, *id, net::Now());
       mLog->Write(
@@ -23,25 +33,41 @@
       ApplyEvacuationEnd(*dataCentre);
     }
   }
+  for (const auto& [upstream, key] : withoutStart) {
+    const auto& record = records.at(key);
+    if (flows::IsForeignEntry(mDirectoryBuilder, upstream)) {
+      RejectRecord(record, key + ".born: missing, other entries have it");
+    } else {
+      ApplyRecord(record, edge::RecordContent(upstream));
+    }
+  }
 }
 
 void
-ControlLoop::ApplyRecord(const fleet::Record& aRecord)
+ControlLoop::RejectRecord(const fleet::Record& aRecord,
+                          const std::string& aReason)
 {
-  const auto content = mFormats.mStore.mDecodeRecord(aRecord);
-  const auto revision = std::to_string(aRecord.mRevision);
-  if (!content) {
-    Increment(mMetrics->mMalformedRecords);
-    mLog->Write("record_unreadable",
-                { { "key", aRecord.mKey },
-                  { "revision", revision },
-                  { "reason", content.error().mMessage } });
-    if (const auto id = mFormats.mStore.mUpstreamIdOf(aRecord.mKey)) {
-      flows::RemoveUpstream(mDirectoryBuilder, *id, net::Now());
-    }
+  Increment(mMetrics->mMalformedRecords);
+  mLog->Write("record_unreadable",
+              { { "key", aRecord.mKey },
+                { "revision", std::to_string(aRecord.mRevision) },
+                { "reason", aReason } });
+  if (const auto id = mFormats.mStore.mUpstreamIdOf(aRecord.mKey)) {
+    flows::RemoveUpstream(mDirectoryBuilder, *id, net::Now());
+  }
+}
+
+void
+ControlLoop::ApplyRecord(const fleet::Record& aRecord,
+                         const state::Result<RecordContent>& aContent)
+{
+  if (!aContent) {
+    RejectRecord(aRecord, aContent.error().mMessage);
     return;
   }
-  if (const auto* upstream = std::get_if<flows::Upstream>(&content.value())) {
+  const auto& content = aContent.value();
+  const auto revision = std::to_string(aRecord.mRevision);
+  if (const auto* upstream = std::get_if<flows::Upstream>(&content)) {
     flows::UpsertUpstream(mDirectoryBuilder, *upstream);
     mLog->Write("upstream_described",
                 { { "upstream", upstream->mId },
@@ -49,10 +75,10 @@
                   { "draining", upstream->mDraining ? "yes" : "no" },
                   { "revision", revision } });
   } else if (const auto* configuration =
-               std::get_if<DecodedConfiguration>(&content.value())) {
+               std::get_if<DecodedConfiguration>(&content)) {
     ApplyConfiguration(*configuration, revision);
   } else if (const auto* evacuation =
-               std::get_if<DecodedEvacuation>(&content.value())) {
+               std::get_if<DecodedEvacuation>(&content)) {
     ApplyEvacuation(*evacuation, aRecord.mKey);
   }
 }
--- a/src/sassafrasknot/edge/control_loop.hpp
+++ b/src/sassafrasknot/edge/control_loop.hpp
@@ -78,9 +78,12 @@
   void StartPull(const fleet::PullRequest& aPull);
   /// Applies changed records of the catalogue to the directory builder.
   void ApplyChangedKeys(const std::vector<std::string>& aKeys);
-  /// Decodes a record and updates the directory builder. An upstream whose
-  /// record is malformed is removed from the builder.
-  void ApplyRecord(const fleet::Record& aRecord);
+  /// Updates the directory builder by a decoded record.
+  void ApplyRecord(const fleet::Record& aRecord,
+                   const state::Result<RecordContent>& aContent);
+  /// Counts and logs a record that is malformed or from another writer. If it
+  /// is of an upstream, that is removed from the builder.
+  void RejectRecord(const fleet::Record& aRecord, const std::string& aReason);
   /// Replaces the configuration, and logs and counts its defective routes.
   void ApplyConfiguration(const DecodedConfiguration& aDecoded,
                           const std::string& aRevision);
--- a/src/sassafrasknot/flows/directory_builder.cpp
+++ b/src/sassafrasknot/flows/directory_builder.cpp
@@ -3,18 +3,49 @@
 #include <utility>
 
 namespace sassafrasknot::flows {
+namespace {
+
+bool
+HasStart(const Upstream& aUpstream)
+{
+  return aUpstream.mStarted.count() != 0;
+}
+
+/// Updates what the builder knows of all upstreams before one is removed.
+void
+ForgetUpstream(DirectoryBuilder& aBuilder, const ListedUpstream& aListed)
+{
+  aBuilder.mTokens.erase(aListed.mToken);
+  aBuilder.mWithStart -= HasStart(aListed.mUpstream) ? 1 : 0;
+}
+
+} // namespace
+
+bool
+IsForeignEntry(const DirectoryBuilder& aBuilder, const Upstream& aUpstream)
+{
+  if (HasStart(aUpstream)) {
+    return false;
+  }
+  const auto found = aBuilder.mUpstreams.find(aUpstream.mId);
+  return found != aBuilder.mUpstreams.end()
+           ? HasStart(found->second.mListed.mUpstream)
+           : 2 * aBuilder.mWithStart > aBuilder.mUpstreams.size();
+}
 
 void
 UpsertUpstream(DirectoryBuilder& aBuilder, const Upstream& aUpstream)
 {
   const auto token = TokenOf(aUpstream.mId);
-  const bool isNew = !aBuilder.mUpstreams.contains(aUpstream.mId);
+  const auto [found, isNew] = aBuilder.mUpstreams.try_emplace(aUpstream.mId);
   if (isNew && !aBuilder.mTokens.insert(token).second) {
     aBuilder.mHasSharedToken = true;
   }
   aBuilder.mChanged.insert(aUpstream.mId);
-  aBuilder.mUpstreams[aUpstream.mId] = { { aUpstream, Presence::Listed, token },
-                                         {} };
+  auto& entry = found->second;
+  aBuilder.mWithStart -= HasStart(entry.mListed.mUpstream) ? 1 : 0;
+  aBuilder.mWithStart += HasStart(aUpstream) ? 1 : 0;
+  entry = { { aUpstream, Presence::Listed, token }, {} };
 }
 
 void
@@ -29,7 +60,7 @@
   auto& [listed, expiredAt] = found->second;
   aBuilder.mChanged.insert(aId);
   if (listed.mUpstream.mDraining) {
-    aBuilder.mTokens.erase(listed.mToken);
+    ForgetUpstream(aBuilder, listed);
     aBuilder.mUpstreams.erase(found);
   } else if (listed.mPresence == Presence::Listed) {
     listed.mPresence = Presence::Expired;
@@ -46,7 +77,7 @@
                                aNow - expiredAt > kExpiryGracePeriod;
            if (isOver) {
              aBuilder.mChanged.insert(aItem.first);
-             aBuilder.mTokens.erase(listed.mToken);
+             ForgetUpstream(aBuilder, listed);
            }
            return isOver;
          }) > 0;
--- a/src/sassafrasknot/flows/directory_test.cpp
+++ b/src/sassafrasknot/flows/directory_test.cpp
@@ -37,6 +37,47 @@
   EXPECT_TRUE(BuildDirectory(builder, 1)->mUpstreams.empty());
 }
 
+// Guards against an entry of another writer, without a start, that moves a
+// running upstream to another service, whose requests it then executes (review
+// case 7).
+TEST(DirectoryBuilder, AnEntryWithoutStartIsForeignIfTheUpstreamStatedOne)
+{
+  DirectoryBuilder builder;
+  auto upstream = MakeUpstream("i-1", "a");
+  upstream.mStarted = milliseconds(7);
+  UpsertUpstream(builder, upstream);
+  EXPECT_FALSE(IsForeignEntry(builder, upstream));
+  const auto foreign = MakeUpstream("i-1", "b");
+  EXPECT_TRUE(IsForeignEntry(builder, foreign));
+  RemoveUpstream(builder, "i-1", At(milliseconds(0)));
+  EXPECT_TRUE(IsForeignEntry(builder, foreign));
+}
+
+// Guards against the same at an instance that does not know the upstream yet,
+// and against one odd entry that makes all others unusable in a deployment
+// without starts.
+TEST(DirectoryBuilder, MostEntriesDecideOnAnUnknownUpstreamWithoutStart)
+{
+  const auto unknown = MakeUpstream("i-9", "a");
+  for (const std::size_t withStart : { 0U, 1U, 2U, 3U }) {
+    DirectoryBuilder builder;
+    for (std::size_t index = 0; index < 3; ++index) {
+      auto upstream = MakeUpstream("i-" + std::to_string(index), "a");
+      upstream.mStarted = milliseconds(index < withStart ? 7 : 0);
+      UpsertUpstream(builder, upstream);
+      UpsertUpstream(builder, upstream);
+    }
+    EXPECT_EQ(builder.mWithStart, withStart);
+    EXPECT_EQ(IsForeignEntry(builder, unknown), withStart >= 2) << withStart;
+    for (std::size_t index = 0; index < 3; ++index) {
+      RemoveUpstream(
+        builder, "i-" + std::to_string(index), At(milliseconds(0)));
+    }
+    RemoveExpired(builder, At(milliseconds(1) + kExpiryGracePeriod));
+    EXPECT_EQ(builder.mWithStart, 0U);
+  }
+}
+
 // Guards against an incremental directory after two ids had the same token:
 // which of them holds it depends on all upstreams.
 TEST(DirectoryBuilder, SharedTokensEndIncrementalDirectories)
