Back off when the store lacks the history again after a full read

Cause: a missing history (410) was followed by a full read at once, and that by a watch.

Change: the first 410 is followed by a full read at once, as before; further ones before a successful watch back off like other failures. This bounds the calls only.

Measured: StoreReader.RepeatedlyMissingHistoryIsFollowedByABackoff fails on the code before.

--- a/include/sassafrasknot/fleet/store_reader.hpp
+++ b/include/sassafrasknot/fleet/store_reader.hpp
@@ -84,6 +84,8 @@
   state::TimePoint mNextCall;
   /// Failures since the last successful call.
   std::uint32_t mFailures = 0;
+  /// Whether the store lacked changes, and no watch has succeeded since.
+  bool mIsHistoryMissing = false;
   /// Latest time at which the store confirmed this instance's revision as its
   /// newest, by a response to this or to another instance.
   state::TimePoint mConfirmedAt;
@@ -114,8 +116,9 @@
            bool aChanged,
            state::TimePoint aNow);
 
-/// @brief Records the failure of a call and sets the time of the next one: at
-/// once, as a full read, after HistoryCompacted; otherwise after a backoff.
+/// @brief Records the failure of a call and sets the time of the next one. After
+/// HistoryCompacted that is a full read at once, unless the watch after the last
+/// such read failed in the same way; otherwise a call after a backoff.
 /// @param aReader state of the calls
 /// @param aFailure how the call failed
 /// @param aRandom source of the random backoff
--- a/src/sassafrasknot/fleet/store_reader.cpp
+++ b/src/sassafrasknot/fleet/store_reader.cpp
@@ -1,6 +1,7 @@
 #include "sassafrasknot/fleet/store_reader.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sassafrasknot::fleet {
 
@@ -43,12 +44,15 @@
            state::TimePoint aNow)
 {
   aReader.mOutstanding = false;
-  aReader.mFailures = 0;
+  if (!aReader.mIsHistoryMissing || !aRead.mFull) {
+    aReader.mFailures = 0;
+  }
   aReader.mNextCall = aNow;
   if (aRead.mFull) {
     aReader.mNeedsFull = false;
   }
   if (!aRead.mFull) {
+    aReader.mIsHistoryMissing = false;
     aReader.mNextCall = aNow + (aChanged ? aReader.mTiming.mBatchDelay
                                          : aReader.mTiming.mWatchInterval);
   }
@@ -63,8 +67,10 @@
   aReader.mOutstanding = false;
   if (aFailure == ReadFailure::HistoryCompacted) {
     aReader.mNeedsFull = true;
-    aReader.mNextCall = aNow;
-    return;
+    if (!std::exchange(aReader.mIsHistoryMissing, true)) {
+      aReader.mNextCall = aNow;
+      return;
+    }
   }
   if (aFailure == ReadFailure::Malformed || aFailure == ReadFailure::TooLarge) {
     // The same watch would fail again. A full read contains only the newest
--- a/src/sassafrasknot/fleet/store_reader_test.cpp
+++ b/src/sassafrasknot/fleet/store_reader_test.cpp
@@ -31,6 +31,33 @@
   EXPECT_TRUE(NextRead(reader, 0, 7, At(milliseconds(9)))->mFull);
 }
 
+// Guards against full reads and watches without a pause while each watch after
+// a full read finds the history missing: a store that came back from an older
+// copy has lower revisions than this instance.
+TEST(StoreReader, RepeatedlyMissingHistoryIsFollowedByABackoff)
+{
+  StoreReader reader;
+  std::minstd_rand random;
+  int watches = 0;
+  for (auto time = milliseconds(0); time < milliseconds(10000);
+       time += milliseconds(5)) {
+    const auto read = NextRead(reader, 0, 7, At(time));
+    if (read && read->mFull) {
+      RecordRead(reader, *read, false, At(time));
+    } else if (read) {
+      ++watches;
+      RecordReadFailure(
+        reader, ReadFailure::HistoryCompacted, random, At(time));
+    }
+  }
+  EXPECT_LE(watches, 32);
+  // A watch that succeeds ends this.
+  RecordRead(reader, { false, 7, {} }, false, At(milliseconds(11000)));
+  RecordReadFailure(
+    reader, ReadFailure::HistoryCompacted, random, At(milliseconds(12000)));
+  EXPECT_TRUE(NextRead(reader, 0, 7, At(milliseconds(12000)))->mFull);
+}
+
 // Guards against a reader that stays behind because the changes since its last
 // read cannot be decoded or are too large for one response: many versions of a
 // long configuration during an outage.
