--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -93,7 +93,8 @@
         &aArguments.mFaults,
         0,
         "planned work and only this kind of faults: "
-        "freeze-reader, silence-upstreams, delay-upstreams or evacuate",
+        "freeze-reader, silence-upstreams, delay-upstreams, evacuate or "
+        "turn-readers-away",
         "KIND" },
       { "sabotage",
         0,
@@ -131,7 +132,7 @@
     options.mOnlyKind = soak::FindSeparateKind(arguments.mFaults);
     if (!options.mOnlyKind) {
       std::cerr << "soak: --faults must be freeze-reader, silence-upstreams, "
-                   "delay-upstreams or evacuate\n";
+                   "delay-upstreams, evacuate or turn-readers-away\n";
       return 2;
     }
   }
--- a/testing/soak/plan.cpp
+++ b/testing/soak/plan.cpp
@@ -33,7 +33,8 @@
   "freeze-reader",
   "silence-upstreams",
   "evacuate",
-  "delay-upstreams"
+  "delay-upstreams",
+  "turn-readers-away"
 };
 
 /// Mean time between the starts of two faults. It is shorter than the longest
@@ -75,6 +76,10 @@
       milliseconds(800),
       milliseconds(50),
       milliseconds(400) },
+    { FaultKind::TurnReadersAway,
+      milliseconds(16000),
+      milliseconds(5000),
+      milliseconds(6000) },
   } };
 
 /// Adds the faults of a separate kind, at random times within each interval.
--- a/testing/soak/plan.hpp
+++ b/testing/soak/plan.hpp
@@ -44,14 +44,17 @@
                     ///< again.
   Evacuate, ///< Evacuates one data centre and returns it to service. This is
             ///< planned work.
-  DelayUpstreams, ///< One upstream at a time is late, as a process without the
-                  ///< processor is.
+  DelayUpstreams,  ///< One upstream at a time is late, as a process without the
+                   ///< processor is.
+  TurnReadersAway, ///< The store does not answer a third of the instances, the
+                   ///< one that reads among them, while another one wakes from
+                   ///< a pause. An upstream starts to drain.
 };
 
 /// @brief Number of kinds; the first kFirstUnplannedKind of them are planned
 /// work. Those from kFirstSeparateKind on are planned apart from the others, so
 /// that a seed goes on giving the same other faults.
-constexpr std::size_t kFaultKindCount = 24;
+constexpr std::size_t kFaultKindCount = 25;
 constexpr std::size_t kFirstUnplannedKind = 5;
 constexpr std::size_t kFirstSeparateKind = 20;
 
--- a/testing/soak/plan_test.cpp
+++ b/testing/soak/plan_test.cpp
@@ -88,6 +88,7 @@
       EXPECT_GE(count, 3U) << seed;
     }
   }
+  EXPECT_EQ(FindSeparateKind("turn-readers-away"), FaultKind::TurnReadersAway);
   EXPECT_EQ(FindSeparateKind("kill"), std::nullopt);
 }
 
--- a/testing/soak/soak.cmake
+++ b/testing/soak/soak.cmake
@@ -25,6 +25,11 @@
       COMMAND soak --seed ${seed} --seconds 8 --folder ${PROJECT_BINARY_DIR}/soak-${seed}
         --daemon $<TARGET_FILE:sassafrasknot_platform_daemon>)
   endforeach()
+  # Review case 6: late drains while instances pass on old confirmations.
+  add_test(NAME soak_turn_readers_away
+    COMMAND soak --seed 3 --seconds 8 --faults turn-readers-away
+      --folder ${PROJECT_BINARY_DIR}/soak-turn-readers-away
+      --daemon $<TARGET_FILE:sassafrasknot_platform_daemon>)
   add_test(NAME soak_finds_deliberate_faults
     COMMAND ${soak_dir}/sabotage_test.sh $<TARGET_FILE:soak>
       $<TARGET_FILE:sassafrasknot_platform_daemon>)
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -210,6 +210,11 @@
   void PauseFirstSource(std::chrono::milliseconds aDuration);
   /// Sends SIGSTOP to an instance's process, and SIGCONT after a time.
   void Pause(Instance& aInstance, std::chrono::milliseconds aDuration);
+  /// Pauses an instance for a part of the time, and lets the store not answer
+  /// others, which is not a disturbance of these or of the store.
+  void TurnReadersAway(const Fault& aFault);
+  /// Lets the store not answer an instance for a time.
+  void TurnAway(Instance& aInstance, std::chrono::milliseconds aDuration);
   /// Lets a group of upstreams stop responding for a time.
   void SilenceUpstreams(const Fault& aFault);
   /// Delays one upstream of "desk" that responds. It excuses no flow.
@@ -286,6 +291,8 @@
   boost::asio::ip::tcp::acceptor mReservation{ mContext };
   std::unique_ptr<sassafrasknot::testing::FakeStore> mStore;
   std::vector<std::unique_ptr<Instance>> mInstances;
+  /// Instance that last called the store.
+  std::size_t mLastReader = 0;
   std::vector<std::shared_ptr<Upstream>> mUpstreams;
   std::vector<std::shared_ptr<Caller>> mCallers;
   std::vector<TestRoute> mTestRoutes;
--- a/testing/soak/world_faults.cpp
+++ b/testing/soak/world_faults.cpp
@@ -56,6 +56,9 @@
     case FaultKind::StoreLosesHistory:
       InjectStoreFault(aFault);
       break;
+    case FaultKind::TurnReadersAway:
+      TurnReadersAway(aFault);
+      break;
     case FaultKind::SilenceUpstreams:
       SilenceUpstreams(aFault);
       break;
--- a/testing/soak/world_outages.cpp
+++ b/testing/soak/world_outages.cpp
@@ -52,6 +52,45 @@
   return group;
 }
 
+void
+World::TurnAway(Instance& aInstance, milliseconds aDuration)
+{
+  auto& relay = *aInstance.mStoreRelay;
+  relay.mConditions.mBlackhole = true;
+  relay.BlackholeOpen();
+  RunAfter(mContext, aDuration, [&aInstance] {
+    aInstance.mStoreRelay->mConditions.mBlackhole =
+      aInstance.mInboundBlocks > 0;
+  });
+}
+
+void
+World::TurnReadersAway(const Fault& aFault)
+{
+  constexpr milliseconds kPause{ 2500 };
+  constexpr milliseconds kPauseLead{ 1000 };
+  constexpr std::size_t kTurnedAwayShare = 3;
+  const auto count = mInstances.size();
+  const auto paused = (mLastReader + 1 + aFault.mTarget % (count - 1)) % count;
+  if (auto& instance = *mInstances[paused];
+      instance.mProcess && !instance.mIsStopping && !instance.mIsPaused) {
+    Pause(instance, kPause);
+  }
+  RunAfter(mContext, kPauseLead, [this, aFault, paused, count] {
+    const auto reader = mLastReader;
+    for (std::size_t index = 0, turnedAway = 0;
+         turnedAway < count / kTurnedAwayShare && index < count;
+         ++index) {
+      if (const auto number = (reader + index) % count; number != paused) {
+        TurnAway(*mInstances[number], aFault.mDuration);
+        ++turnedAway;
+      }
+    }
+    InjectUpstreamFault(
+      { FaultKind::ReplaceUpstream, {}, aFault.mDuration, aFault.mTarget });
+  });
+}
+
 void
 World::SilenceUpstreams(const Fault& aFault)
 {
--- a/testing/soak/world_setup.cpp
+++ b/testing/soak/world_setup.cpp
@@ -99,6 +99,7 @@
   added.mPullRelay->Start();
   added.mStoreRelay = std::make_shared<ConnectionRelay>(
     mContext, mAddresses.StoreRelay(aNumber), mAddresses.Store());
+  added.mStoreRelay->mOnAccepted = [this, aNumber] { mLastReader = aNumber; };
   added.mStoreRelay->Start();
   mInstances.push_back(std::move(instance));
   WriteSettings(added);
