--- a/src/sassafrasknot/fleet/fleet_core_test.cpp
+++ b/src/sassafrasknot/fleet/fleet_core_test.cpp
@@ -275,6 +275,37 @@
   EXPECT_EQ(fleet.CountBehind(), 0U);
 }
 
+// Guards against late drains after an outage of the whole store, which leaves
+// all instances but the reader marked as unable to reach it: the oldest one
+// then keeps the first rank although the store turns it away.
+TEST(FleetCore, MarksFromAnEarlierOutageDoNotDelayChanges)
+{
+  auto fleet = MakeFleet(3);
+  fleet.Run(milliseconds(5000));
+  const auto setReachable = [&fleet](bool aReachesStore) {
+    for (auto& [endpoint, node] : fleet.mNodes) {
+      node.mReachesStore = aReachesStore;
+    }
+  };
+  setReachable(false);
+  fleet.Run(milliseconds(4500));
+  setReachable(true);
+  fleet.Run(milliseconds(9500));
+  const auto isReader = [](const auto& aItem) {
+    return !aItem.second.mCore.mPeers.mSelf.mStoreUnreachable;
+  };
+  const auto reader = std::ranges::find_if(fleet.mNodes, isReader);
+  ASSERT_NE(reader, fleet.mNodes.end());
+  ASSERT_LT(std::ranges::count_if(fleet.mNodes, isReader), 9);
+  reader->second.mReachesStore = false;
+  for (const std::uint32_t address : { 1U, 2U, 3U }) {
+    fleet.NodeAt(address).mReachesStore = false;
+  }
+  fleet.mStoreRevision = 9;
+  fleet.Run(milliseconds(2900));
+  EXPECT_EQ(fleet.CountBehind(), 0U);
+}
+
 /// An instance with state, and messages of its local peers.
 struct Receiver
 {
