--- a/src/sassafrasknot/edge/control_directory.cpp
+++ b/src/sassafrasknot/edge/control_directory.cpp
@@ -36,7 +36,8 @@
   for (const auto& [upstream, key] : withoutStart) {
     const auto& record = records.at(key);
     if (flows::IsForeignEntry(mDirectoryBuilder, upstream)) {
-      RejectRecord(record, key + ".born: missing, other entries have it");
+      RejectRecord(record,
+                   key + ": does not state a start, which other entries do");
     } else {
       ApplyRecord(record, edge::RecordContent(upstream));
     }
