--- a/include/sassafrasknot/fleet/store_reader.hpp
+++ b/include/sassafrasknot/fleet/store_reader.hpp
@@ -116,9 +116,9 @@
            bool aChanged,
            state::TimePoint aNow);
 
-/// @brief Records the failure of a call and sets the time of the next one. After
-/// HistoryCompacted that is a full read at once, unless the watch after the last
-/// such read failed in the same way; otherwise a call after a backoff.
+/// @brief Records the failure of a call and sets the time of the next one.
+/// After HistoryCompacted that is a full read at once, unless the watch after
+/// the last such read failed in the same way; otherwise a call after a backoff.
 /// @param aReader state of the calls
 /// @param aFailure how the call failed
 /// @param aRandom source of the random backoff
